--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -9,11 +9,13 @@
 find_package(glog REQUIRED)
 find_package(nlohmann_json 3.11 REQUIRED)
 find_package(Boost 1.74 REQUIRED)
-find_package(rapidcheck REQUIRED)
 pkg_check_modules(INIREADER REQUIRED IMPORTED_TARGET INIReader)
 pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
-# The CMake package of CppUTest names a folder that Debian does not ship.
-pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+if(NOT JASMINEHATCH_SHIPPED_ONLY)
+  find_package(rapidcheck REQUIRED)
+  # The CMake package of CppUTest names a folder that Debian does not ship.
+  pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+endif()
 pkg_check_modules(JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
 pkg_check_modules(JSONRPCCPP REQUIRED IMPORTED_TARGET
                   libjsonrpccpp-server libjsonrpccpp-client)
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,6 +1,8 @@
 add_library(jasminehatch_options INTERFACE)
 target_compile_options(jasminehatch_options INTERFACE
   -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror
+  # GCC 12 at -O3 takes members of moved variants for uninitialized.
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>
   # Designated initializers leave the other members at their defaults.
   -Wno-missing-field-initializers)
 
@@ -19,6 +21,9 @@
 # Declares the one test program of a package, from tests/*.cc:
 # jasminehatch_tests(<name> DEPENDS <targets...>).
 function(jasminehatch_tests name)
+  if(JASMINEHATCH_SHIPPED_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
   add_executable(${name}_tests ${sources})
--- a/packages/codec/include/jasminehatch/codec.h
+++ b/packages/codec/include/jasminehatch/codec.h
@@ -18,6 +18,8 @@
 #include "jasminehatch/detail/json/refusal_json.h"
 #include "jasminehatch/detail/json/upstream_report.h"
 #include "jasminehatch/detail/settings/daemon_settings.h"
+#include "jasminehatch/detail/settings/forwarder_settings.h"
+#include "jasminehatch/detail/sse/event_splitter.h"
 #include "jasminehatch/detail/sse/sse_parser.h"
 
 #endif  // JASMINEHATCH_CODEC_H_
--- /dev/null
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -0,0 +1,52 @@
+#ifndef JASMINEHATCH_DETAIL_SETTINGS_FORWARDER_SETTINGS_H_
+#define JASMINEHATCH_DETAIL_SETTINGS_FORWARDER_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "jasminehatch/detail/forwarding/options.h"
+
+namespace jasminehatch::codec {
+
+struct IniDocument;
+
+/// @brief Settings of a daemon that forwards requests on the users' platform,
+/// read at start.
+struct ForwarderSettings {
+  /// The section that a settings file of such a daemon has.
+  static constexpr std::string_view kSection = "forwarder";
+
+  std::string name;  ///< Unique among the daemons.
+  std::string zone;
+  std::string address;          ///< `ip:port` for callers.
+  std::string ready_address;    ///< `ip:port` for the balancer's question.
+  std::string metrics_address;  ///< `ip:port`; empty for none.
+  std::string store_address;    ///< `ip:port` of the platform's store.
+
+  std::chrono::milliseconds stop_grace{8000};
+  std::chrono::milliseconds revoke_limit{5000};
+  std::chrono::milliseconds version_limit{6000};
+  std::chrono::milliseconds lease_time{3000};
+  bool upstreams_check_fences = true;
+  double retry_ratio = 0.2;
+  double retry_slack = 50;
+  std::chrono::seconds retry_window{10};
+
+  /// @brief Reads settings from an INI document.
+  /// @throw SettingsError 1xx; the message has file, line, key and what is
+  /// allowed. Strong exception guarantee.
+  static ForwarderSettings Read(const IniDocument& document);
+
+  /// @return whether the document is one of a forwarding daemon
+  static bool Describes(const IniDocument& document);
+
+  /// @return the table of all settings with defaults and units, in Markdown
+  static std::string Documentation();
+};
+
+}  // namespace jasminehatch::codec
+
+#endif  // JASMINEHATCH_DETAIL_SETTINGS_FORWARDER_SETTINGS_H_
--- /dev/null
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -0,0 +1,129 @@
+#include "jasminehatch/detail/settings/forwarder_settings.h"
+
+#include <algorithm>
+#include <array>
+
+#include "jasminehatch/detail/ini/ini_document.h"
+#include "jasminehatch/detail/settings/field_table.h"
+
+namespace jasminehatch::codec {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+using ForwarderField = Field<ForwarderSettings>;
+
+constexpr std::array kFields{
+    ForwarderField{
+        "name",
+        [](const FieldReader& r, ForwarderSettings& s) { s.name = r.Text(); },
+        true, "", "name of this daemon, unique among all daemons"},
+    ForwarderField{
+        "zone",
+        [](const FieldReader& r, ForwarderSettings& s) { s.zone = r.Text(); },
+        true, "", "availability zone of this entry VM"},
+    ForwarderField{"address",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.address = r.Text();
+                   },
+                   true, "", "ip:port to listen on for callers"},
+    ForwarderField{"ready_address",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.ready_address = r.Text();
+                   },
+                   true, "", "ip:port where the balancer asks for readiness"},
+    ForwarderField{"metrics_address",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.metrics_address = r.Text();
+                   },
+                   false, "none", "ip:port where metrics are served"},
+    ForwarderField{"store_address",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.store_address = r.Text();
+                   },
+                   true, "", "ip:port of the platform's store"},
+    ForwarderField{"stop_grace",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.stop_grace = r.Time(seconds(1), minutes(10));
+                   },
+                   false, "8s",
+                   "time between the order to stop and the end by force"},
+    ForwarderField{"revoke_limit",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.revoke_limit = r.Time(milliseconds(500), minutes(10));
+                   },
+                   false, "5s",
+                   "time after which a key that was taken away must not work"},
+    ForwarderField{"version_limit",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.version_limit = r.Time(milliseconds(500), minutes(60));
+                   },
+                   false, "6s",
+                   "time after which no request may start on older weights"},
+    ForwarderField{"lease_time",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.lease_time = r.Time(milliseconds(500), minutes(10));
+                   },
+                   false, "3s",
+                   "least time between the orders of two daemons"},
+    ForwarderField{"upstreams_check_fences",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.upstreams_check_fences = r.Flag();
+                   },
+                   false, "yes",
+                   "whether upstreams refuse orders with an older fencing "
+                   "number"},
+    ForwarderField{"retry_ratio",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.retry_ratio = r.Number(0, 10);
+                   },
+                   false, "0.2", "retries of all daemons per request"},
+    ForwarderField{"retry_slack",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.retry_slack = r.Number(0, 1e6);
+                   },
+                   false, "50",
+                   "further retries of all daemons in a retry window"},
+    ForwarderField{"retry_window",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.retry_window = std::chrono::duration_cast<seconds>(
+                         r.Time(seconds(1), minutes(10)));
+                   },
+                   false, "10s", "time over which retries are counted"},
+};
+
+}  // namespace
+
+bool ForwarderSettings::Describes(const IniDocument& document) {
+  return std::any_of(document.sections.begin(), document.sections.end(),
+                     [](const IniSection& s) { return s.kind == kSection; });
+}
+
+ForwarderSettings ForwarderSettings::Read(const IniDocument& document) {
+  ForwarderSettings settings;
+  for (const IniSection& section : document.sections) {
+    if (section.kind != kSection || !section.name.empty()) {
+      throw SettingsError(103, document.Place(section.line) +
+                                   ": unknown section [" + section.kind +
+                                   "]; allowed: " + std::string(kSection));
+    }
+    ReadSection<ForwarderSettings>(document, section, kFields, settings);
+  }
+  return settings;
+}
+
+std::string ForwarderSettings::Documentation() {
+  std::string text =
+      "| section | key | default | meaning |\n|---|---|---|---|\n";
+  for (const ForwarderField& field : kFields) {
+    text += "| `[" + std::string(kSection) + "]` | `" + std::string(field.key) +
+            "` | " +
+            (field.required ? "required" : std::string(field.default_text)) +
+            " | " + std::string(field.description) + " |\n";
+  }
+  return text;
+}
+
+}  // namespace jasminehatch::codec
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/forwarding/placement.h
@@ -0,0 +1,38 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDING_PLACEMENT_H_
+#define JASMINEHATCH_DETAIL_FORWARDING_PLACEMENT_H_
+
+#include <cstddef>
+
+#include "jasminehatch/detail/base/time.h"
+
+namespace jasminehatch::forwarding {
+
+struct Request;
+struct State;
+struct Upstream;
+
+/// @brief The upstream for an attempt, with what decided for it.
+struct Placement {
+  Upstream* upstream = nullptr;  ///< Null when none can be used.
+  std::size_t candidates = 0;
+  double mean_load = 0;  ///< Mean of the candidates' relative loads.
+  bool by_prompt = false;  ///< Chosen by the parts of the prompt.
+};
+
+/// @brief Chooses an upstream of the request's service.
+///
+/// Requests without a prompt go to the upstream with the least relative load.
+/// Prompts that share their leading parts meet at one upstream on every daemon
+/// (rendezvous hashing), until that one is overloaded in relation to the
+/// others.
+/// @param state the state of the concern
+/// @param request the request; its earlier upstreams are avoided
+/// @param now the time of the decision
+/// Linear in the number of the service's upstreams.
+Placement ChooseUpstream(const State& state,
+                         const Request& request,
+                         MonotonicTime now);
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDING_PLACEMENT_H_
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -0,0 +1,52 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDING_REQUEST_H_
+#define JASMINEHATCH_DETAIL_FORWARDING_REQUEST_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminehatch/detail/base/strong_id.h"
+#include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/event.h"
+#include "jasminehatch/detail/forwarding/route_table.h"
+
+namespace jasminehatch::forwarding {
+
+/// @brief A request in progress and its current attempt.
+struct Request {
+  struct Attempt {
+    AttemptId id;
+    std::string upstream;
+    std::optional<MonotonicTime> give_up_at;
+    bool answer_started = false;
+  };
+
+  RequestReceived arrival;
+  std::shared_ptr<const RouteTable> table;  ///< Owns `route`.
+  const Route* route = nullptr;
+  std::string workspace;
+  bool dedicated = false;
+  int priority = 5;
+  std::string service;  ///< Of the current or latest attempt.
+  MonotonicTime arrived_at{};
+  MonotonicTime deadline{};
+  MonotonicTime timer{};  ///< The entry in `State::timers`.
+  std::optional<Attempt> attempt;
+  std::vector<std::string> tried;  ///< Upstreams of earlier attempts.
+  std::uint32_t sends = 0;
+  std::uint32_t runs = 0;  ///< Earlier attempts that may have run.
+  bool answer_started = false;
+  std::string last_event;
+
+  /// @return whether the request may run again after it may have run
+  bool Repeatable() const {
+    return route->repeat == Repeat::kIdempotent ||
+           (route->repeat == Repeat::kStream && route->resumable);
+  }
+};
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDING_REQUEST_H_
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -0,0 +1,40 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDING_ROUTE_TABLE_H_
+#define JASMINEHATCH_DETAIL_FORWARDING_ROUTE_TABLE_H_
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "jasminehatch/detail/forwarding/configuration.h"
+
+namespace jasminehatch::forwarding {
+
+/// @brief Finds routes, services and workspaces of one configuration.
+class RouteTable {
+ public:
+  RouteTable() = default;
+  explicit RouteTable(Configuration configuration);
+
+  const Configuration& Current() const { return m_configuration; }
+
+  /// @return the route of this host with the longest prefix of `path`, or null.
+  /// Linear in the length of the path
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+
+  /// @return the workspace that holds the key, or null
+  const Workspace* FindWorkspace(std::string_view key) const;
+
+  /// @return the service, or null
+  const Service* FindService(std::string_view name) const;
+
+ private:
+  Configuration m_configuration;
+  /// By host, a line feed and the path prefix.
+  std::unordered_map<std::string, std::size_t> m_routes;
+  std::unordered_map<std::string, std::size_t> m_keys;
+  std::unordered_map<std::string, std::size_t> m_services;
+};
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDING_ROUTE_TABLE_H_
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -0,0 +1,46 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDING_STATE_H_
+#define JASMINEHATCH_DETAIL_FORWARDING_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "jasminehatch/detail/base/strong_id.h"
+#include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/request.h"
+#include "jasminehatch/detail/forwarding/retry_allowance.h"
+#include "jasminehatch/detail/forwarding/route_table.h"
+#include "jasminehatch/detail/forwarding/upstream_directory.h"
+
+namespace jasminehatch::forwarding {
+
+/// @brief State of the forwarding concern of one daemon.
+struct State {
+  Options options;
+  /// Null before the first configuration was read. Requests in progress keep
+  /// the table by which they were admitted.
+  std::shared_ptr<const RouteTable> table;
+  /// When the newest read that proves the configuration current was sent.
+  std::optional<MonotonicTime> confirmed_at;
+  UpstreamDirectory upstreams;
+  std::unordered_map<RequestId, Request> requests;
+  std::set<std::pair<MonotonicTime, RequestId>> timers;
+  RetryAllowance retries;
+  std::uint64_t next_attempt = 1;
+
+  /// @return when the next `TimerFired` is due, if at all
+  std::optional<MonotonicTime> NextTimer() const {
+    return timers.empty() ? std::nullopt
+                          : std::optional(timers.begin()->first);
+  }
+};
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDING_STATE_H_
--- /dev/null
+++ b/packages/core/src/forwarding/retry_allowance.cc
@@ -0,0 +1,52 @@
+#include "jasminehatch/detail/forwarding/retry_allowance.h"
+
+#include <algorithm>
+
+#include "jasminehatch/detail/forwarding/options.h"
+
+namespace jasminehatch::forwarding {
+namespace {
+
+/// Part of the fleet's allowance that is used; the rest covers daemons that
+/// are started beyond the expected number, and windows that start elsewhere.
+constexpr double kUsedShare = 0.75;
+
+void DropBefore(std::deque<MonotonicTime>& times, MonotonicTime limit) {
+  while (!times.empty() && times.front() < limit) {
+    times.pop_front();
+  }
+}
+
+}  // namespace
+
+RetryAllowance::Window& RetryAllowance::Trim(const std::string& service,
+                                             MonotonicTime now,
+                                             const Options& options) {
+  Window& window = m_windows[service];
+  DropBefore(window.requests, now - options.retry_window);
+  DropBefore(window.retries, now - options.retry_window);
+  return window;
+}
+
+void RetryAllowance::NoteRequest(const std::string& service,
+                                 MonotonicTime now,
+                                 const Options& options) {
+  Trim(service, now, options).requests.push_back(now);
+}
+
+bool RetryAllowance::TrySpend(const std::string& service,
+                              MonotonicTime now,
+                              const Options& options) {
+  Window& window = Trim(service, now, options);
+  const double allowed =
+      kUsedShare *
+      (options.retry_ratio * static_cast<double>(window.requests.size()) +
+       options.retry_slack / std::max<double>(options.daemons, 1));
+  if (static_cast<double>(window.retries.size()) + 1 > allowed) {
+    return false;
+  }
+  window.retries.push_back(now);
+  return true;
+}
+
+}  // namespace jasminehatch::forwarding
--- /dev/null
+++ b/packages/core/src/forwarding/upstream.cc
@@ -0,0 +1,36 @@
+#include "jasminehatch/detail/forwarding/upstream.h"
+
+namespace jasminehatch::forwarding {
+namespace {
+
+/// Weight of the latest attempt in the share of failures.
+constexpr double kFailureWeight = 0.15;
+
+/// Failures in a row after which an upstream that can be reached is left
+/// alone.
+constexpr std::uint32_t kFailureLimit = 3;
+
+}  // namespace
+
+void Upstream::NoteSuccess() {
+  failures_in_row = 0;
+  suspended_until.reset();
+  failure_share *= 1 - kFailureWeight;
+}
+
+void Upstream::NoteFailure(bool unreachable,
+                           MonotonicTime now,
+                           const Options& options) {
+  ++failures_in_row;
+  failure_share = failure_share * (1 - kFailureWeight) + kFailureWeight;
+  const std::uint32_t limit = unreachable ? 1 : kFailureLimit;
+  if (failures_in_row < limit) {
+    return;
+  }
+  const std::uint32_t doublings =
+      std::min<std::uint32_t>(failures_in_row - limit, 4);
+  suspended_until = now + std::min(options.suspend_time * (1U << doublings),
+                                   options.max_suspend_time);
+}
+
+}  // namespace jasminehatch::forwarding
--- /dev/null
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -0,0 +1,130 @@
+#include "jasminehatch/detail/forwarding/upstream_directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jasminehatch::forwarding {
+
+void UpstreamDirectory::Register(const UpstreamEntry& entry) {
+  if (Upstream* known = Find(entry.id)) {
+    if (known->entry.started_at == entry.started_at &&
+        known->entry.service == entry.service &&
+        known->entry.address == entry.address) {
+      const auto weights = known->entry.weights;
+      known->entry = entry;
+      known->removed_at.reset();
+      for (const auto& [model, version] : weights) {
+        ObserveWeights({entry.id, model, version});
+      }
+      return;
+    }
+    // A new start knows nothing of before.
+    Erase(entry.id);
+  }
+  auto upstream = std::make_unique<Upstream>();
+  upstream->entry = entry;
+  m_by_service[entry.service].push_back(upstream.get());
+  m_upstreams.emplace(entry.id, std::move(upstream));
+}
+
+void UpstreamDirectory::Erase(const std::string& id) {
+  const auto found = m_upstreams.find(id);
+  if (found == m_upstreams.end()) {
+    return;
+  }
+  std::erase(m_by_service[found->second->entry.service], found->second.get());
+  m_upstreams.erase(found);
+}
+
+void UpstreamDirectory::Remove(const std::string& id, MonotonicTime now) {
+  Upstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  if (m_removals_wait_until && now < *m_removals_wait_until) {
+    upstream->removed_at = now;
+    return;
+  }
+  Erase(id);
+}
+
+void UpstreamDirectory::List(std::span<const UpstreamEntry> entries,
+                             MonotonicTime now) {
+  std::set<std::string> listed;
+  for (const UpstreamEntry& entry : entries) {
+    listed.insert(entry.id);
+    Register(entry);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, upstream] : m_upstreams) {
+    if (!listed.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    Remove(id, now);
+  }
+}
+
+void UpstreamDirectory::NameWeights(const WeightsNamed& named,
+                                    MonotonicTime now) {
+  NamedWeights& known = m_named[named.model];
+  if (named.version > known.version) {
+    known = {named.version, now};
+  }
+}
+
+void UpstreamDirectory::ObserveWeights(const WeightsObserved& seen) {
+  if (Upstream* upstream = Find(seen.upstream)) {
+    std::uint64_t& version = upstream->entry.weights[seen.model];
+    version = std::max(version, seen.version);
+  }
+}
+
+void UpstreamDirectory::RejectWeights(const std::string& id,
+                                      const std::string& model) {
+  Upstream* upstream = Find(id);
+  if (upstream == nullptr) {
+    return;
+  }
+  const auto named = Named(model);
+  std::uint64_t& version = upstream->entry.weights[model];
+  // Mostly it has just changed to the newest version.
+  version = named && named->version > version ? named->version : 0;
+}
+
+Upstream* UpstreamDirectory::Find(const std::string& id) {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : found->second.get();
+}
+
+const Upstream* UpstreamDirectory::Find(const std::string& id) const {
+  const auto found = m_upstreams.find(id);
+  return found == m_upstreams.end() ? nullptr : found->second.get();
+}
+
+std::span<Upstream* const> UpstreamDirectory::Of(
+    const std::string& service) const {
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) {
+    return {};
+  }
+  return found->second;
+}
+
+bool UpstreamDirectory::Usable(const Upstream& upstream,
+                               MonotonicTime now) const {
+  if (upstream.entry.draining) {
+    return false;
+  }
+  return !upstream.removed_at ||
+         (m_removals_wait_until && now < *m_removals_wait_until);
+}
+
+std::optional<UpstreamDirectory::NamedWeights> UpstreamDirectory::Named(
+    const std::string& model) const {
+  const auto found = m_named.find(model);
+  return found == m_named.end() ? std::nullopt : std::optional(found->second);
+}
+
+}  // namespace jasminehatch::forwarding
--- a/packages/daemon/include/jasminehatch/daemon.h
+++ b/packages/daemon/include/jasminehatch/daemon.h
@@ -6,5 +6,6 @@
 /// and turns I/O into events.
 
 #include "jasminehatch/detail/daemon/daemon.h"
+#include "jasminehatch/detail/forwarder/forwarder.h"
 
 #endif  // JASMINEHATCH_DAEMON_H_
--- /dev/null
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
@@ -0,0 +1,84 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDER_TOPIC_FOLLOWER_H_
+#define JASMINEHATCH_DETAIL_FORWARDER_TOPIC_FOLLOWER_H_
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "jasminehatch/detail/base/time.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch {
+class Clock;
+}
+
+namespace jasminehatch::platform {
+class StoreClient;
+struct StorePage;
+struct StoreRecord;
+}  // namespace jasminehatch::platform
+
+namespace jasminehatch::daemon {
+
+/// @brief Follows a keyed topic of the platform's store: first the newest
+/// record of each key, then each record in order, and again the newest ones
+/// when records were compacted away before they were read.
+class TopicFollower {
+ public:
+  struct Options {
+    std::string topic;
+    /// How long the store may hold a read until a record exists.
+    std::chrono::milliseconds wait{0};
+    /// Pause between two reads.
+    std::chrono::milliseconds pause{0};
+  };
+
+  struct Callbacks {
+    /// The newest record of each key; keys without one do not exist.
+    std::function<void(std::span<const platform::StoreRecord>)> on_listed;
+    /// Further records, in order.
+    std::function<void(std::span<const platform::StoreRecord>)> on_records;
+    /// A read that was sent at this time showed the newest record.
+    std::function<void(MonotonicTime sent_at)> on_caught_up;
+    /// Reads fail, for the given reason.
+    std::function<void(const std::string& detail)> on_lost;
+    /// Reads succeed again; they failed for this long.
+    std::function<void(Duration outage)> on_regained;
+  };
+
+  TopicFollower(asio::io_context& loop,
+                platform::StoreClient& store,
+                const Clock& clock,
+                Options options,
+                Callbacks callbacks);
+
+  void Start() { List(); }
+
+ private:
+  void List();
+  void Read();
+  void OnPage(const platform::StorePage& page, MonotonicTime sent_at);
+  void NoteSuccess();
+  void NoteFailure(const std::string& detail);
+  void After(std::chrono::milliseconds delay, void (TopicFollower::*next)());
+
+  platform::StoreClient& m_store;
+  const Clock& m_clock;
+  Options m_options;
+  Callbacks m_callbacks;
+  asio::steady_timer m_timer;
+  std::uint64_t m_next = 0;
+  std::optional<MonotonicTime> m_failing_since;
+  bool m_reported_lost = false;
+};
+
+}  // namespace jasminehatch::daemon
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDER_TOPIC_FOLLOWER_H_
--- a/packages/daemon/main/main.cc
+++ b/packages/daemon/main/main.cc
@@ -4,6 +4,7 @@
 #include <jasminehatch/codec.h>
 #include <jasminehatch/daemon.h>
 #include <jasminehatch/net.h>
+#include <jasminehatch/platform.h>
 #include <jasminehatch/telemetry.h>
 
 #include <asio/io_context.hpp>
@@ -13,6 +14,8 @@
 #include <exception>
 #include <functional>
 #include <iostream>
+#include <string>
+#include <utility>
 
 DEFINE_string(settings, "", "INI file with the settings of this daemon");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -33,37 +36,77 @@
                                     std::chrono::microseconds(1));
 }
 
+/// Calls `on_signal` with the number of each signal of the set.
+void OnSignals(asio::signal_set& signals, std::function<void(int)> on_signal) {
+  signals.async_wait([&signals, on_signal = std::move(on_signal)](
+                         const asio::error_code& error, int number) {
+    if (!error) {
+      on_signal(number);
+      OnSignals(signals, on_signal);
+    }
+  });
+}
+
+int RunForwarder(const std::string& file, const codec::IniDocument& document) {
+  asio::io_context loop(1);
+  const net::BootClock clock;
+  daemon::Forwarder forwarder(loop, codec::ForwarderSettings::Read(document),
+                              clock, NewIncarnation(clock));
+  asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+  OnSignals(signals, [&](int number) {
+    if (number != SIGHUP) {
+      forwarder.Stop([&] { loop.stop(); });
+      return;
+    }
+    try {
+      forwarder.Reload(
+          codec::ForwarderSettings::Read(codec::IniDocument::Load(file)));
+    } catch (const SettingsError& error) {
+      telemetry::LogWarning("settings_not_acceptable",
+                            {{"detail", error.what()}});
+    }
+  });
+  loop.run();
+  return 0;
+}
+
+int RunDaemon(const codec::IniDocument& document) {
+  asio::io_context loop(1);
+  const net::SystemClock clock;
+  daemon::Daemon daemon(loop, codec::DaemonSettings::Read(document), clock,
+                        NewIncarnation(clock));
+  std::cout << "listening on " << daemon.Port() << std::endl;
+  asio::signal_set signals(loop, SIGTERM, SIGINT);
+  OnSignals(signals,
+            [&](int /*number*/) { daemon.Stop([&] { loop.stop(); }); });
+  loop.run();
+  return 0;
+}
+
 int Run() {
   if (FLAGS_document_settings) {
-    std::cout << codec::DaemonSettings::Documentation();
+    std::cout << codec::DaemonSettings::Documentation() << '\n'
+              << codec::ForwarderSettings::Documentation();
     return 0;
   }
-  if (FLAGS_settings.empty()) {
+  const std::string file =
+      FLAGS_settings.empty() ? platform::SettingsLocation() : FLAGS_settings;
+  if (file.empty()) {
     std::cerr << "--settings FILE is required\n";
     return kExitUsage;
   }
-  const auto settings =
-      codec::DaemonSettings::Read(codec::IniDocument::Load(FLAGS_settings));
+  const auto document = codec::IniDocument::Load(file);
+  const bool forwards = codec::ForwarderSettings::Describes(document);
   if (FLAGS_check) {
-    std::cout << FLAGS_settings << ": ok\n";
+    if (forwards) {
+      codec::ForwarderSettings::Read(document);
+    } else {
+      codec::DaemonSettings::Read(document);
+    }
+    std::cout << file << ": ok\n";
     return 0;
   }
-  asio::io_context loop(1);
-  const net::SystemClock clock;
-  daemon::Daemon daemon(loop, settings, clock, NewIncarnation(clock));
-  std::cout << "listening on " << daemon.Port() << std::endl;
-  asio::signal_set signals(loop, SIGTERM, SIGINT);
-  std::function<void(const asio::error_code&, int)> on_signal =
-      [&](const asio::error_code& error, int) {
-        if (error) {
-          return;
-        }
-        daemon.Stop([&] { loop.stop(); });
-        signals.async_wait(on_signal);
-      };
-  signals.async_wait(on_signal);
-  loop.run();
-  return 0;
+  return forwards ? RunForwarder(file, document) : RunDaemon(document);
 }
 
 }  // namespace
--- /dev/null
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -0,0 +1,376 @@
+#include "jasminehatch/detail/forwarder/forwarder.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jasminehatch/codec.h"
+#include "jasminehatch/detail/base/clock.h"
+#include "jasminehatch/detail/base/exception.h"
+#include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/detail/forwarder/topic_follower.h"
+#include "jasminehatch/net.h"
+#include "jasminehatch/platform.h"
+#include "jasminehatch/telemetry.h"
+
+namespace jasminehatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::DecisionLog;
+using telemetry::DecisionLogField;
+
+/// Longest wait of a read of the configuration; a third of the shortest limit
+/// of a proof that it is current.
+constexpr milliseconds kConfigurationWait{900};
+
+/// Reads of the registry of upstreams; each upstream writes there about once a
+/// second, so that a read on each record would be many.
+constexpr milliseconds kRegistryPause{700};
+
+/// Failed reads of the registry after which its removals may only be entries
+/// that could not be renewed.
+constexpr milliseconds kRegistryOutage{800};
+
+/// Share of the time limit of revoked keys that a proof may age. The rest
+/// covers the travel of a request that was admitted by it.
+constexpr double kProofShare = 0.6;
+
+/// Share of the time limit of weights after which older ones are not used.
+constexpr double kVersionShare = 0.85;
+
+/// The balancer asks once a second and takes a daemon out after two misses.
+constexpr milliseconds kBalancerNotice{2600};
+
+constexpr milliseconds kStopCheck{50};
+constexpr milliseconds kLogFlush{200};
+
+struct Endpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+};
+
+Endpoint ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Endpoint endpoint;
+  const char* end = text.data() + text.size();
+  if (colon != std::string::npos) {
+    endpoint.ip = text.substr(0, colon);
+    const auto parsed =
+        std::from_chars(text.data() + colon + 1, end, endpoint.port);
+    if (parsed.ec == std::errc() && parsed.ptr == end) {
+      return endpoint;
+    }
+  }
+  throw SettingsError(104, "'" + text + "' is not an address; ip:port allowed");
+}
+
+forwarding::Options PolicyOf(const codec::ForwarderSettings& settings) {
+  forwarding::Options options;
+  options.zone = settings.zone;
+  const auto share = [](milliseconds time, double part) {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(time) * part);
+  };
+  options.proof_limit = share(settings.revoke_limit, kProofShare);
+  options.version_hard_limit = share(settings.version_limit, kVersionShare);
+  options.retry_ratio = settings.retry_ratio;
+  options.retry_slack = settings.retry_slack;
+  options.retry_window = settings.retry_window;
+  return options;
+}
+
+}  // namespace
+
+class Forwarder::Impl {
+ public:
+  Impl(asio::io_context& loop,
+       const codec::ForwarderSettings& settings,
+       const Clock& clock,
+       std::uint64_t incarnation)
+      : m_settings(settings),
+        m_clock(clock),
+        m_log(STDOUT_FILENO, clock, {}),
+        m_http_client(loop),
+        m_stream_client(loop, {}),
+        m_store(m_http_client, settings.store_address),
+        m_host(loop,
+               clock,
+               m_stream_client,
+               m_log,
+               m_metrics,
+               PolicyOf(settings)),
+        m_configuration(loop,
+                        m_store,
+                        clock,
+                        {std::string(platform::kOperatorTopic),
+                         kConfigurationWait,
+                         milliseconds(0)},
+                        ConfigurationCallbacks()),
+        m_registry(loop,
+                   m_store,
+                   clock,
+                   {std::string(platform::kUpstreamTopic), milliseconds(0),
+                    kRegistryPause},
+                   RegistryCallbacks()),
+        m_stop_timer(loop),
+        m_log_timer(loop) {
+    const std::array fields{
+        DecisionLogField{"name", settings.name},
+        DecisionLogField{"zone", settings.zone}};
+    (void)incarnation;
+    m_log.Write(DecisionLog::Level::kState, "started", fields);
+    Listen(loop);
+    m_configuration.Start();
+    m_registry.Start();
+    FlushLog();
+  }
+
+  bool Ready() const {
+    const forwarding::State& state = m_host.State();
+    return !m_stopping && m_registry_read && state.table &&
+           state.confirmed_at &&
+           m_clock.Now() - *state.confirmed_at <= state.options.proof_limit;
+  }
+
+  void Stop(std::function<void()> on_stopped) {
+    if (std::exchange(m_stopping, true)) {
+      return;
+    }
+    m_log.Write(DecisionLog::Level::kState, "stopping", {});
+    m_on_stopped = std::move(on_stopped);
+    m_stop_at = m_clock.Now();
+    m_server->CloseAfterResponses();
+    CheckStop();
+  }
+
+  void Reload(const codec::ForwarderSettings& settings) {
+    m_log.Write(DecisionLog::Level::kState, "settings_read_again", {});
+    m_settings = settings;
+  }
+
+ private:
+  void Listen(asio::io_context& loop);
+  TopicFollower::Callbacks ConfigurationCallbacks();
+  TopicFollower::Callbacks RegistryCallbacks();
+  void OnOperatorRecords(std::span<const platform::StoreRecord> records);
+  void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
+  void LogDependency(std::string_view event,
+                     std::string_view dependency,
+                     const std::string& detail);
+  void CheckStop();
+  void FlushLog();
+
+  codec::ForwarderSettings m_settings;
+  const Clock& m_clock;
+  DecisionLog m_log;
+  telemetry::Metrics m_metrics;
+  net::HttpClient m_http_client;
+  net::StreamClient m_stream_client;
+  platform::StoreClient m_store;
+  ForwardingHost m_host;
+  TopicFollower m_configuration;
+  TopicFollower m_registry;
+  std::unique_ptr<net::StreamServer> m_server;
+  std::unique_ptr<net::HttpServer> m_ready_server;
+  std::unique_ptr<net::HttpServer> m_metrics_server;
+  asio::steady_timer m_stop_timer;
+  asio::steady_timer m_log_timer;
+  std::function<void()> m_on_stopped;
+  MonotonicTime m_stop_at{};
+  bool m_stopping = false;
+  bool m_accepting = true;
+  bool m_registry_read = false;
+};
+
+void Forwarder::Impl::Listen(asio::io_context& loop) {
+  const Endpoint front = ParseEndpoint(m_settings.address);
+  m_server = std::make_unique<net::StreamServer>(
+      loop, front.ip, front.port,
+      [this](std::shared_ptr<net::ServerExchange> exchange) {
+        m_host.OnRequest(std::move(exchange));
+      });
+  const Endpoint ready = ParseEndpoint(m_settings.ready_address);
+  net::HttpServer::Options options;
+  options.address = ready.ip;
+  options.port = ready.port;
+  m_ready_server = std::make_unique<net::HttpServer>(
+      loop, options,
+      [this](const net::HttpRequest& /*request*/,
+             const std::shared_ptr<net::ResponseWriter>& writer) {
+        writer->Send(Ready() ? 200 : 503, {{"Content-Type", "text/plain"}},
+                     Ready() ? "ready\n" : "not ready\n");
+      });
+  if (m_settings.metrics_address.empty()) {
+    return;
+  }
+  const Endpoint metrics = ParseEndpoint(m_settings.metrics_address);
+  options.address = metrics.ip;
+  options.port = metrics.port;
+  m_metrics_server = std::make_unique<net::HttpServer>(
+      loop, options,
+      [this](const net::HttpRequest& /*request*/,
+             const std::shared_ptr<net::ResponseWriter>& writer) {
+        writer->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                     m_metrics.Render());
+      });
+}
+
+void Forwarder::Impl::LogDependency(std::string_view event,
+                                    std::string_view dependency,
+                                    const std::string& detail) {
+  const std::array fields{DecisionLogField{"dependency", dependency},
+                          DecisionLogField{"detail", detail}};
+  m_log.Write(DecisionLog::Level::kState, event, fields);
+}
+
+TopicFollower::Callbacks Forwarder::Impl::ConfigurationCallbacks() {
+  TopicFollower::Callbacks callbacks;
+  callbacks.on_listed = [this](auto records) { OnOperatorRecords(records); };
+  callbacks.on_records = callbacks.on_listed;
+  callbacks.on_caught_up = [this](MonotonicTime sent_at) {
+    m_host.Apply(forwarding::ConfigurationConfirmed{sent_at});
+  };
+  callbacks.on_lost = [this](const std::string& detail) {
+    LogDependency("dependency_lost", "configuration", detail);
+  };
+  callbacks.on_regained = [this](Duration outage) {
+    LogDependency("dependency_regained", "configuration",
+                  std::to_string(outage / milliseconds(1)) + " ms");
+  };
+  return callbacks;
+}
+
+TopicFollower::Callbacks Forwarder::Impl::RegistryCallbacks() {
+  TopicFollower::Callbacks callbacks;
+  callbacks.on_listed = [this](auto records) {
+    forwarding::UpstreamsListed listed;
+    for (const platform::StoreRecord& record : records) {
+      if (auto entry =
+              platform::DecodeUpstreamRecord(record.key, record.value)) {
+        listed.entries.push_back(std::move(*entry));
+      }
+    }
+    m_registry_read = m_registry_read || !listed.entries.empty();
+    m_host.Apply(listed);
+  };
+  callbacks.on_records = [this](auto records) { OnUpstreamRecords(records); };
+  callbacks.on_caught_up = [](MonotonicTime) {};
+  callbacks.on_lost = [this](const std::string& detail) {
+    LogDependency("dependency_lost", "registry", detail);
+  };
+  callbacks.on_regained = [this](Duration outage) {
+    LogDependency("dependency_regained", "registry",
+                  std::to_string(outage / milliseconds(1)) + " ms");
+    if (outage >= kRegistryOutage) {
+      m_host.Apply(forwarding::RegistryRegained{});
+    }
+  };
+  return callbacks;
+}
+
+void Forwarder::Impl::OnOperatorRecords(
+    std::span<const platform::StoreRecord> records) {
+  for (const platform::StoreRecord& record : records) {
+    if (record.removed) {
+      continue;
+    }
+    try {
+      if (const auto event =
+              platform::DecodeOperatorRecord(record.key, record.value)) {
+        m_host.Apply(*event);
+        LogDependency("operator_record_applied", record.key,
+                      "offset " + std::to_string(record.offset));
+      }
+    } catch (const CodecError& error) {
+      LogDependency("operator_record_invalid", record.key, error.what());
+    }
+  }
+  if (m_host.State().table && m_server) {
+    const forwarding::Limits& limits = m_host.State().table->Current().limits;
+    m_server->SetLimits(
+        {limits.header_bytes, limits.body_bytes,
+         std::chrono::duration_cast<milliseconds>(limits.header_timeout),
+         std::chrono::duration_cast<milliseconds>(limits.idle_timeout)});
+  }
+}
+
+void Forwarder::Impl::OnUpstreamRecords(
+    std::span<const platform::StoreRecord> records) {
+  for (const platform::StoreRecord& record : records) {
+    if (record.removed) {
+      LogDependency("upstream_removed", record.key, "");
+      m_host.Apply(forwarding::UpstreamRemoved{record.key});
+      continue;
+    }
+    auto entry = platform::DecodeUpstreamRecord(record.key, record.value);
+    if (!entry) {
+      LogDependency("upstream_record_invalid", record.key, "");
+      continue;
+    }
+    m_registry_read = true;
+    m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
+  }
+}
+
+void Forwarder::Impl::CheckStop() {
+  const auto age = m_clock.Now() - m_stop_at;
+  if (age >= kBalancerNotice && std::exchange(m_accepting, false)) {
+    m_server->StopAccepting();
+  }
+  const bool idle = !m_accepting && m_server->BusyConnections() == 0;
+  // What is left then is cut off by the platform anyway.
+  const bool out_of_time = age >= m_settings.stop_grace - milliseconds(300);
+  if (idle || out_of_time) {
+    m_log.Write(DecisionLog::Level::kState, "stopped", {});
+    m_log.Flush();
+    m_on_stopped();
+    return;
+  }
+  m_stop_timer.expires_after(kStopCheck);
+  m_stop_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      CheckStop();
+    }
+  });
+}
+
+void Forwarder::Impl::FlushLog() {
+  m_log.Flush();
+  m_log_timer.expires_after(kLogFlush);
+  m_log_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      FlushLog();
+    }
+  });
+}
+
+Forwarder::Forwarder(asio::io_context& loop,
+                     const codec::ForwarderSettings& settings,
+                     const Clock& clock,
+                     std::uint64_t incarnation)
+    : m_impl(std::make_unique<Impl>(loop, settings, clock, incarnation)) {}
+
+Forwarder::~Forwarder() = default;
+
+bool Forwarder::Ready() const {
+  return m_impl->Ready();
+}
+
+void Forwarder::Reload(const codec::ForwarderSettings& settings) {
+  m_impl->Reload(settings);
+}
+
+void Forwarder::Stop(std::function<void()> on_stopped) {
+  m_impl->Stop(std::move(on_stopped));
+}
+
+}  // namespace jasminehatch::daemon
--- /dev/null
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -0,0 +1,110 @@
+#include "jasminehatch/detail/forwarder/topic_follower.h"
+
+#include <asio/io_context.hpp>
+#include <utility>
+
+#include "jasminehatch/detail/base/clock.h"
+#include "jasminehatch/platform.h"
+
+namespace jasminehatch::daemon {
+namespace {
+
+/// A failed read is repeated after this time; each call to the store has its
+/// price, also a refused one.
+constexpr std::chrono::milliseconds kRetryDelay{250};
+
+}  // namespace
+
+TopicFollower::TopicFollower(asio::io_context& loop,
+                             platform::StoreClient& store,
+                             const Clock& clock,
+                             Options options,
+                             Callbacks callbacks)
+    : m_store(store),
+      m_clock(clock),
+      m_options(std::move(options)),
+      m_callbacks(std::move(callbacks)),
+      m_timer(loop) {}
+
+void TopicFollower::List() {
+  const MonotonicTime sent_at = m_clock.Now();
+  m_store.ReadNewest(m_options.topic, [this, sent_at](
+                                          const platform::StorePage& page) {
+    if (page.status != platform::StorePage::Status::kRead) {
+      NoteFailure(page.detail);
+      After(kRetryDelay, &TopicFollower::List);
+      return;
+    }
+    NoteSuccess();
+    m_next = page.end;
+    m_callbacks.on_listed(page.records);
+    m_callbacks.on_caught_up(sent_at);
+    After(m_options.pause, &TopicFollower::Read);
+  });
+}
+
+void TopicFollower::Read() {
+  const MonotonicTime sent_at = m_clock.Now();
+  m_store.Read(m_options.topic, m_next, m_options.wait,
+               [this, sent_at](const platform::StorePage& page) {
+                 OnPage(page, sent_at);
+               });
+}
+
+void TopicFollower::OnPage(const platform::StorePage& page,
+                           MonotonicTime sent_at) {
+  switch (page.status) {
+    case platform::StorePage::Status::kFailed:
+      NoteFailure(page.detail);
+      After(kRetryDelay, &TopicFollower::Read);
+      return;
+    case platform::StorePage::Status::kCompacted:
+      NoteSuccess();
+      List();
+      return;
+    case platform::StorePage::Status::kRead:
+      break;
+  }
+  NoteSuccess();
+  if (!page.records.empty()) {
+    m_next = page.records.back().offset + 1;
+    m_callbacks.on_records(page.records);
+  }
+  // A page that ends before the newest record is followed at once.
+  const bool caught_up = m_next == page.end;
+  if (caught_up) {
+    m_callbacks.on_caught_up(sent_at);
+  }
+  const bool more = m_next < page.end;
+  After(more ? std::chrono::milliseconds(0) : m_options.pause,
+        &TopicFollower::Read);
+}
+
+void TopicFollower::NoteSuccess() {
+  const auto since = std::exchange(m_failing_since, std::nullopt);
+  if (since) {
+    m_reported_lost = false;
+    m_callbacks.on_regained(m_clock.Now() - *since);
+  }
+}
+
+void TopicFollower::NoteFailure(const std::string& detail) {
+  if (!m_failing_since) {
+    m_failing_since = m_clock.Now();
+  }
+  if (!std::exchange(m_reported_lost, true)) {
+    m_callbacks.on_lost(detail);
+  }
+}
+
+void TopicFollower::After(std::chrono::milliseconds delay,
+                          void (TopicFollower::*next)()) {
+  m_timer.expires_after(delay);
+  m_timer.async_wait([this, next](const asio::error_code& error) {
+    if (!error) {
+      (this->*next)();
+    }
+  });
+}
+
+}  // namespace jasminehatch::daemon
--- /dev/null
+++ b/packages/net/include/jasminehatch/detail/stream/stream_client.h
@@ -0,0 +1,100 @@
+#ifndef JASMINEHATCH_DETAIL_STREAM_STREAM_CLIENT_H_
+#define JASMINEHATCH_DETAIL_STREAM_STREAM_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "jasminehatch/detail/http/http_message.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch::net {
+
+/// @brief A request for StreamClient.
+struct StreamCall {
+  std::string address;  ///< IP number and port of the upstream, `ip:port`.
+  std::string method;
+  std::string target;  ///< Path and query, sent as they are.
+  HttpHeaders headers;  ///< Without the framing of the body.
+  std::string body;
+  std::chrono::milliseconds total_timeout{0};  ///< From the start; 0 for none.
+};
+
+/// @brief The head of a response.
+struct StreamHead {
+  int status = 0;
+  HttpHeaders headers;
+};
+
+/// @brief How a call of StreamClient ended.
+struct StreamEnd {
+  enum class Kind {
+    kComplete,   ///< The whole response was received.
+    kNotSent,    ///< No byte of the request was handed to a socket.
+    kBroken,     ///< The connection broke or was reset.
+    kMalformed,  ///< The bytes received are no HTTP response.
+    kTimedOut,
+  };
+
+  Kind kind = Kind::kBroken;
+  bool head_received = false;
+  std::string detail;
+};
+
+/// @brief HTTP/1.1 client for requests that are passed on to upstreams.
+///
+/// It never sends a request a second time by itself, keeps idle connections
+/// while nothing unexpected arrives on them, and gives up a connection on which
+/// a response ended before its request was sent. All calls and callbacks run on
+/// the loop's thread.
+class StreamClient {
+ public:
+  using CallId = std::uint64_t;
+
+  struct Options {
+    /// An upstream without power does not answer the opening packet.
+    std::chrono::milliseconds connect_timeout{400};
+    /// Idle connections that are older may be gone without a notice.
+    std::chrono::milliseconds idle_limit{2'000};
+    /// Unacknowledged bytes that are older break the connection.
+    std::chrono::milliseconds send_timeout{1'500};
+    std::size_t idle_per_address = 32;
+  };
+
+  struct Callbacks {
+    std::function<void(StreamHead head)> on_head;
+    std::function<void(std::string_view data)> on_data;
+    std::function<void(const StreamEnd& end)> on_end;
+  };
+
+  StreamClient(asio::io_context& loop, const Options& options);
+  ~StreamClient();
+  StreamClient(const StreamClient&) = delete;
+  StreamClient& operator=(const StreamClient&) = delete;
+
+  /// @brief Starts a call; no callback is called before it returns, and
+  /// `on_end` is called once unless the call is cancelled.
+  CallId Start(StreamCall call, Callbacks callbacks);
+
+  /// Closes the connection of a call, without a callback. Unknown ids are
+  /// ignored.
+  void Cancel(CallId id);
+
+  /// Closes the idle connections to an address.
+  void DropIdle(const std::string& address);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jasminehatch::net
+
+#endif  // JASMINEHATCH_DETAIL_STREAM_STREAM_CLIENT_H_
--- /dev/null
+++ b/packages/net/include/jasminehatch/detail/stream/stream_server.h
@@ -0,0 +1,71 @@
+#ifndef JASMINEHATCH_DETAIL_STREAM_STREAM_SERVER_H_
+#define JASMINEHATCH_DETAIL_STREAM_STREAM_SERVER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch::net {
+
+class ServerExchange;
+
+/// @brief Bounds on what a caller may send, and on how long it may take.
+struct CallerLimits {
+  std::size_t header_bytes = 16UL << 10U;
+  std::size_t body_bytes = 4UL << 20U;
+  /// From the first byte of a request to the end of its head.
+  std::chrono::milliseconds header_timeout{10'000};
+  /// Without a request in progress.
+  std::chrono::milliseconds idle_timeout{60'000};
+};
+
+/// @brief HTTP/1.1 server for requests that are passed on to upstreams.
+///
+/// Other than HttpServer it reads on while a request is in progress, so that a
+/// caller's close is noticed at once, and it can leave a response visibly
+/// incomplete. All calls and callbacks run on the loop's thread.
+class StreamServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
+
+  /// @throw TransportError 301 when the address cannot be bound
+  StreamServer(asio::io_context& loop,
+               const std::string& address,
+               std::uint16_t port,
+               Handler handler);
+  ~StreamServer();
+  StreamServer(const StreamServer&) = delete;
+  StreamServer& operator=(const StreamServer&) = delete;
+
+  std::uint16_t Port() const;
+
+  /// Applies to connections from their next request on.
+  void SetLimits(const CallerLimits& limits);
+
+  /// From now on each response closes its connection.
+  void CloseAfterResponses();
+
+  /// Stops accepting connections and closes those without a request.
+  void StopAccepting();
+
+  /// @return connections with a request in progress
+  std::size_t BusyConnections() const;
+
+  /// @return open connections
+  std::size_t Connections() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace jasminehatch::net
+
+#endif  // JASMINEHATCH_DETAIL_STREAM_STREAM_SERVER_H_
--- /dev/null
+++ b/packages/net/include/jasminehatch/detail/time/boot_clock.h
@@ -0,0 +1,26 @@
+#ifndef JASMINEHATCH_DETAIL_TIME_BOOT_CLOCK_H_
+#define JASMINEHATCH_DETAIL_TIME_BOOT_CLOCK_H_
+
+#include <ctime>
+
+#include "jasminehatch/detail/base/clock.h"
+
+namespace jasminehatch::net {
+
+/// @brief Clocks of the operating system, where monotonic time also counts the
+/// time in which the machine was suspended, so that leases and proofs of
+/// freshness age then too.
+class BootClock : public Clock {
+ public:
+  MonotonicTime Now() const override {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return MonotonicTime(std::chrono::seconds(time.tv_sec) +
+                         std::chrono::nanoseconds(time.tv_nsec));
+  }
+  WallTime WallNow() const override { return std::chrono::system_clock::now(); }
+};
+
+}  // namespace jasminehatch::net
+
+#endif  // JASMINEHATCH_DETAIL_TIME_BOOT_CLOCK_H_
--- a/packages/net/include/jasminehatch/net.h
+++ b/packages/net/include/jasminehatch/net.h
@@ -10,6 +10,10 @@
 #include "jasminehatch/detail/http/http_server.h"
 #include "jasminehatch/detail/http/response_writer.h"
 #include "jasminehatch/detail/rpc/json_rpc_server.h"
+#include "jasminehatch/detail/stream/server_exchange.h"
+#include "jasminehatch/detail/stream/stream_client.h"
+#include "jasminehatch/detail/stream/stream_server.h"
+#include "jasminehatch/detail/time/boot_clock.h"
 #include "jasminehatch/detail/time/system_clock.h"
 
 #endif  // JASMINEHATCH_NET_H_
--- /dev/null
+++ b/packages/net/src/stream/message_parser.cc
@@ -0,0 +1,125 @@
+#include "message_parser.h"
+
+#include <utility>
+
+namespace jasminehatch::net {
+namespace {
+
+MessageParser& Self(http_parser* parser) {
+  return *static_cast<MessageParser*>(parser->data);
+}
+
+}  // namespace
+
+MessageParser::MessageParser(http_parser_type type) : m_type(type) {
+  Reset();
+}
+
+void MessageParser::Reset() {
+  http_parser_init(&m_parser, m_type);
+  m_parser.data = this;
+  m_target.clear();
+  m_headers.clear();
+  m_head_bytes = 0;
+  m_in_value = false;
+  m_head_complete = false;
+  m_message_complete = false;
+  m_keep_alive = false;
+  m_chunked = false;
+  m_no_body = false;
+}
+
+http_parser_settings MessageParser::Settings() {
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_url = [](http_parser* p, const char* at, std::size_t length) {
+    Self(p).m_target.append(at, length);
+    Self(p).m_head_bytes += length;
+    return 0;
+  };
+  settings.on_header_field = [](http_parser* p, const char* at,
+                                std::size_t length) {
+    MessageParser& self = Self(p);
+    self.m_head_bytes += length;
+    if (self.m_head_complete) {
+      return 0;  // Trailers are not passed on.
+    }
+    if (self.m_in_value || self.m_headers.empty()) {
+      self.m_headers.emplace_back();
+      self.m_in_value = false;
+    }
+    self.m_headers.back().name.append(at, length);
+    return 0;
+  };
+  settings.on_header_value = [](http_parser* p, const char* at,
+                                std::size_t length) {
+    MessageParser& self = Self(p);
+    self.m_head_bytes += length;
+    if (self.m_head_complete) {
+      return 0;
+    }
+    self.m_in_value = true;
+    self.m_headers.back().value.append(at, length);
+    return 0;
+  };
+  settings.on_headers_complete = [](http_parser* p) {
+    MessageParser& self = Self(p);
+    self.m_head_complete = true;
+    self.m_keep_alive = http_should_keep_alive(p) != 0;
+    self.m_chunked = (p->flags & F_CHUNKED) != 0;
+    if (self.on_head) {
+      self.on_head();
+    }
+    return self.m_no_body ? 1 : 0;
+  };
+  settings.on_body = [](http_parser* p, const char* at, std::size_t length) {
+    if (Self(p).on_body) {
+      Self(p).on_body(std::string_view(at, length));
+    }
+    return 0;
+  };
+  settings.on_message_complete = [](http_parser* p) {
+    Self(p).m_message_complete = true;
+    // Bytes after the message belong to the next one, or to none.
+    http_parser_pause(p, 1);
+    return 0;
+  };
+  return settings;
+}
+
+MessageParser::Progress MessageParser::Feed(std::string_view data) {
+  static const http_parser_settings kSettings = Settings();
+  Progress progress;
+  progress.consumed =
+      http_parser_execute(&m_parser, &kSettings, data.data(), data.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
+  if (m_message_complete) {
+    if (m_parser.upgrade != 0 && error == HPE_OK) {
+      return progress;
+    }
+    // The pause takes effect on the last byte of the message, which
+    // http_parser has consumed only when the message has a body or a head that
+    // ends with it.
+    http_parser_pause(&m_parser, 0);
+    return progress;
+  }
+  if (error != HPE_OK) {
+    progress.error = http_errno_description(error);
+  } else if (m_parser.upgrade != 0) {
+    progress.error = "a protocol upgrade is not supported";
+  }
+  return progress;
+}
+
+bool MessageParser::FeedEnd() {
+  if (m_message_complete) {
+    return true;
+  }
+  if (!m_head_complete) {
+    return false;
+  }
+  Feed({});
+  return m_message_complete;
+}
+
+}  // namespace jasminehatch::net
--- /dev/null
+++ b/packages/net/src/stream/message_parser.h
@@ -0,0 +1,77 @@
+#ifndef JASMINEHATCH_STREAM_MESSAGE_PARSER_H_
+#define JASMINEHATCH_STREAM_MESSAGE_PARSER_H_
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "jasminehatch/detail/http/http_message.h"
+
+namespace jasminehatch::net {
+
+/// @brief Parses the HTTP/1.1 messages of one connection, one at a time.
+class MessageParser {
+ public:
+  /// @brief What one call of `Feed` led to.
+  struct Progress {
+    std::size_t consumed = 0;
+    std::string error;  ///< Empty unless the bytes are no message.
+  };
+
+  explicit MessageParser(http_parser_type type);
+  MessageParser(const MessageParser&) = delete;
+  MessageParser& operator=(const MessageParser&) = delete;
+
+  /// Prepares for the next message.
+  void Reset();
+
+  /// @brief Parses bytes up to the end of the message.
+  Progress Feed(std::string_view data);
+
+  /// Tells the parser that the connection ended. @return whether that ends the
+  /// message as complete
+  bool FeedEnd();
+
+  bool HeadComplete() const { return m_head_complete; }
+  bool MessageComplete() const { return m_message_complete; }
+  bool KeepAlive() const { return m_keep_alive; }
+  bool Chunked() const { return m_chunked; }
+  bool HttpOnePointOne() const {
+    return m_parser.http_major == 1 && m_parser.http_minor == 1;
+  }
+  int Status() const { return static_cast<int>(m_parser.status_code); }
+  std::string_view Method() const {
+    return http_method_str(static_cast<http_method>(m_parser.method));
+  }
+  std::string& Target() { return m_target; }
+  HttpHeaders& Headers() { return m_headers; }
+  std::size_t HeadBytes() const { return m_head_bytes; }
+
+  /// The answer to HEAD has the head of a body that does not follow.
+  void ExpectNoBody() { m_no_body = true; }
+
+  std::function<void()> on_head;
+  std::function<void(std::string_view)> on_body;
+
+ private:
+  static http_parser_settings Settings();
+
+  http_parser m_parser{};
+  http_parser_type m_type;
+  std::string m_target;
+  HttpHeaders m_headers;
+  std::size_t m_head_bytes = 0;
+  bool m_in_value = false;
+  bool m_head_complete = false;
+  bool m_message_complete = false;
+  bool m_keep_alive = false;
+  bool m_chunked = false;
+  bool m_no_body = false;
+};
+
+}  // namespace jasminehatch::net
+
+#endif  // JASMINEHATCH_STREAM_MESSAGE_PARSER_H_
--- /dev/null
+++ b/packages/net/src/stream/server_connection.cc
@@ -0,0 +1,373 @@
+#include "server_connection.h"
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <cctype>
+#include <utility>
+
+#include "message_text.h"
+
+namespace jasminehatch::net {
+namespace {
+
+/// Bytes of further requests that are kept while one is in progress.
+constexpr std::size_t kPipelineLimit = 64UL << 10U;
+
+/// Time for a caller to take the last response before the connection is closed.
+constexpr std::chrono::milliseconds kLinger{500};
+
+/// @brief The exchange that a handler holds.
+class Exchange : public ServerExchange {
+ public:
+  Exchange(std::weak_ptr<ServerConnection> connection,
+           std::size_t sequence,
+           HttpRequest request)
+      : m_connection(std::move(connection)),
+        m_sequence(sequence),
+        m_request(std::move(request)) {}
+
+  const HttpRequest& Request() const override { return m_request; }
+  void Send(int status,
+            const HttpHeaders& headers,
+            std::string_view body) override {
+    if (const auto connection = m_connection.lock()) {
+      connection->Send(m_sequence, status, headers, body);
+    }
+  }
+  void BeginStream(int status, const HttpHeaders& headers) override {
+    if (const auto connection = m_connection.lock()) {
+      connection->BeginStream(m_sequence, status, headers);
+    }
+  }
+  void Write(std::string_view data) override {
+    if (const auto connection = m_connection.lock()) {
+      connection->Write(m_sequence, data);
+    }
+  }
+  void End() override {
+    if (const auto connection = m_connection.lock()) {
+      connection->End(m_sequence);
+    }
+  }
+  void Abort() override {
+    if (const auto connection = m_connection.lock()) {
+      connection->Abort(m_sequence);
+    }
+  }
+  std::size_t UnsentBytes() const override {
+    const auto connection = m_connection.lock();
+    return connection ? connection->UnsentBytes() : 0;
+  }
+  void OnCallerLeft(std::function<void()> callback) override {
+    if (const auto connection = m_connection.lock()) {
+      connection->SetLeft(m_sequence, std::move(callback));
+    }
+  }
+
+ private:
+  std::weak_ptr<ServerConnection> m_connection;
+  std::size_t m_sequence;
+  HttpRequest m_request;
+};
+
+}  // namespace
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
+                                   std::shared_ptr<const ServerShared> shared)
+    : m_socket(std::move(socket)),
+      m_shared(std::move(shared)),
+      m_phase_since(std::chrono::steady_clock::now()) {
+  m_parser.on_head = [this] { OnHead(); };
+  m_parser.on_body = [this](std::string_view data) {
+    if (m_body.size() + data.size() > m_shared->limits.body_bytes) {
+      m_rejected = m_rejected == 0 ? 413 : m_rejected;
+      return;
+    }
+    m_body.append(data);
+  };
+}
+
+void ServerConnection::Start() {
+  asio::error_code ignored;
+  m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Read();
+}
+
+void ServerConnection::Read() {
+  if (m_read_pending || !m_socket.is_open() ||
+      m_input.size() > kPipelineLimit) {
+    return;
+  }
+  m_read_pending = true;
+  m_socket.async_read_some(
+      asio::buffer(m_buffer),
+      [self = shared_from_this()](const asio::error_code& error,
+                                  std::size_t length) {
+        self->m_read_pending = false;
+        if (error) {
+          self->CloseNow();
+          return;
+        }
+        self->OnRead(length);
+      });
+}
+
+void ServerConnection::OnRead(std::size_t length) {
+  if (m_phase != Phase::kClosing) {
+    m_input.append(m_buffer.data(), length);
+  }
+  if (m_phase == Phase::kReading) {
+    Consume();
+  }
+  Read();
+}
+
+void ServerConnection::Consume() {
+  while (m_phase == Phase::kReading && !m_input.empty()) {
+    if (!std::exchange(m_first_byte_seen, true)) {
+      m_phase_since = std::chrono::steady_clock::now();
+    }
+    const auto progress = m_parser.Feed(m_input);
+    if (!progress.error.empty()) {
+      m_input.clear();
+      Reject(400);
+      return;
+    }
+    m_input.erase(0, progress.consumed);
+    if (!m_parser.HeadComplete() &&
+        m_parser.HeadBytes() > m_shared->limits.header_bytes) {
+      m_rejected = 431;
+    }
+    if (m_rejected != 0) {
+      m_input.clear();
+      Reject(m_rejected);
+      return;
+    }
+    if (!m_parser.MessageComplete()) {
+      return;
+    }
+    OnRequest();
+  }
+}
+
+void ServerConnection::OnHead() {
+  const HttpHeaders& headers = m_parser.Headers();
+  if (m_parser.HeadBytes() > m_shared->limits.header_bytes) {
+    m_rejected = 431;
+    return;
+  }
+  if (!m_parser.HttpOnePointOne()) {
+    m_rejected = 505;
+    return;
+  }
+  // http_parser accepts spaces in names and some control characters in values,
+  // which another parser may read as further headers.
+  if (!std::all_of(headers.begin(), headers.end(), IsProperHeader) ||
+      CountHeader(headers, "Host") != 1 || !IsProperTarget(m_parser.Target())) {
+    m_rejected = 400;
+    return;
+  }
+  if (!FindHeader(headers, "Expect").empty()) {
+    m_out += "HTTP/1.1 100 Continue\r\n\r\n";
+    Flush();
+  }
+}
+
+void ServerConnection::OnRequest() {
+  HttpRequest request;
+  request.method = std::string(m_parser.Method());
+  const std::string& target = m_parser.Target();
+  const std::size_t question = target.find('?');
+  request.path = target.substr(0, question);
+  if (question != std::string::npos) {
+    request.query = target.substr(question + 1);
+  }
+  request.headers = std::move(m_parser.Headers());
+  request.body = std::exchange(m_body, {});
+  m_keep_alive = m_parser.KeepAlive();
+  m_head_request = request.method == "HEAD";
+  m_phase = Phase::kResponding;
+  m_phase_since = std::chrono::steady_clock::now();
+  m_first_byte_seen = false;
+  m_parser.Reset();
+  ++m_sequence;
+  m_shared->handler(std::make_shared<Exchange>(weak_from_this(), m_sequence,
+                                               std::move(request)));
+}
+
+void ServerConnection::Reject(int status) {
+  m_phase = Phase::kResponding;
+  m_keep_alive = false;
+  m_rejected = 0;
+  Send(++m_sequence, status, {{"Content-Type", "text/plain"}},
+       "the request is not acceptable\n");
+}
+
+std::string ServerConnection::Head(int status,
+                                   const HttpHeaders& headers) const {
+  std::string head = StatusLine(status);
+  for (const HttpHeader& header : headers) {
+    AppendHeader(head, header);
+  }
+  if (!m_keep_alive || m_shared->close_after_responses) {
+    head += "Connection: close\r\n";
+  }
+  return head;
+}
+
+void ServerConnection::Send(std::size_t sequence,
+                            int status,
+                            const HttpHeaders& headers,
+                            std::string_view body) {
+  if (!Current(sequence)) {
+    return;
+  }
+  m_out += Head(status, headers);
+  m_out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  if (!m_head_request) {
+    m_out += body;
+  }
+  FinishResponse();
+}
+
+void ServerConnection::BeginStream(std::size_t sequence,
+                                   int status,
+                                   const HttpHeaders& headers) {
+  if (!Current(sequence)) {
+    return;
+  }
+  m_out += Head(status, headers);
+  m_out += "Transfer-Encoding: chunked\r\n\r\n";
+  Flush();
+}
+
+void ServerConnection::Write(std::size_t sequence, std::string_view data) {
+  if (!Current(sequence) || data.empty() || m_head_request) {
+    return;
+  }
+  AppendChunk(m_out, data);
+  Flush();
+}
+
+void ServerConnection::End(std::size_t sequence) {
+  if (!Current(sequence)) {
+    return;
+  }
+  if (!m_head_request) {
+    m_out += "0\r\n\r\n";
+  }
+  FinishResponse();
+}
+
+void ServerConnection::Abort(std::size_t sequence) {
+  if (!Current(sequence)) {
+    return;
+  }
+  m_on_left = nullptr;
+  CloseNow();
+}
+
+void ServerConnection::SetLeft(std::size_t sequence,
+                               std::function<void()> callback) {
+  if (Current(sequence)) {
+    m_on_left = std::move(callback);
+  }
+}
+
+void ServerConnection::FinishResponse() {
+  m_on_left = nullptr;
+  m_phase_since = std::chrono::steady_clock::now();
+  const bool close = !m_keep_alive || m_shared->close_after_responses;
+  m_phase = close ? Phase::kClosing : Phase::kReading;
+  Flush();
+  if (!close && !m_input.empty()) {
+    // Parsing from here would nest handlers of pipelined requests.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+      if (self->m_phase == Phase::kReading) {
+        self->Consume();
+        self->Read();
+      }
+    });
+  }
+}
+
+void ServerConnection::Flush() {
+  if (m_write_pending || !m_socket.is_open()) {
+    return;
+  }
+  if (m_out.empty()) {
+    if (m_phase == Phase::kClosing) {
+      BeginClosing();
+    }
+    return;
+  }
+  m_writing = std::exchange(m_out, {});
+  m_write_pending = true;
+  asio::async_write(m_socket, asio::buffer(m_writing),
+                    [self = shared_from_this()](const asio::error_code& error,
+                                                std::size_t /*length*/) {
+                      self->m_write_pending = false;
+                      self->m_writing.clear();
+                      if (error) {
+                        self->CloseNow();
+                        return;
+                      }
+                      self->Flush();
+                    });
+}
+
+void ServerConnection::BeginClosing() {
+  // Closing with unread bytes would reset the connection and could take the
+  // response from the caller.
+  asio::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  m_phase_since = std::chrono::steady_clock::now();
+}
+
+void ServerConnection::CloseNow() {
+  if (!m_socket.is_open()) {
+    return;
+  }
+  asio::error_code ignored;
+  m_socket.close(ignored);
+  NotifyLeft();
+}
+
+void ServerConnection::NotifyLeft() {
+  if (const auto callback = std::exchange(m_on_left, nullptr)) {
+    callback();
+  }
+}
+
+void ServerConnection::CheckTimeouts(Time now) {
+  if (!m_socket.is_open()) {
+    return;
+  }
+  const auto age = now - m_phase_since;
+  if (m_phase == Phase::kClosing) {
+    if (age > kLinger && !m_write_pending) {
+      CloseNow();
+    }
+    return;
+  }
+  if (m_phase != Phase::kReading) {
+    return;
+  }
+  const CallerLimits& limits = m_shared->limits;
+  if (m_first_byte_seen && !m_parser.HeadComplete() &&
+      age > limits.header_timeout) {
+    Reject(408);
+  } else if (age > limits.idle_timeout) {
+    // A body that does not arrive is bounded like an idle connection.
+    CloseNow();
+  }
+}
+
+void ServerConnection::CloseIfIdle() {
+  if (m_phase == Phase::kReading && !m_first_byte_seen && m_input.empty()) {
+    CloseNow();
+  }
+}
+
+}  // namespace jasminehatch::net
--- /dev/null
+++ b/packages/net/src/stream/server_connection.h
@@ -0,0 +1,109 @@
+#ifndef JASMINEHATCH_STREAM_SERVER_CONNECTION_H_
+#define JASMINEHATCH_STREAM_SERVER_CONNECTION_H_
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "jasminehatch/detail/stream/server_exchange.h"
+#include "jasminehatch/detail/stream/stream_server.h"
+#include "message_parser.h"
+
+namespace jasminehatch::net {
+
+/// @brief What the connections of a server share.
+struct ServerShared {
+  StreamServer::Handler handler;
+  CallerLimits limits;
+  bool close_after_responses = false;
+};
+
+/// @brief One caller connection: reads requests one after another and writes
+/// their responses.
+class ServerConnection
+    : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  ServerConnection(asio::ip::tcp::socket socket,
+                   std::shared_ptr<const ServerShared> shared);
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  void Start();
+
+  /// Closes the connection if a time limit has passed.
+  void CheckTimeouts(Time now);
+
+  /// Closes the connection unless a request is in progress.
+  void CloseIfIdle();
+
+  bool Busy() const { return m_phase == Phase::kResponding; }
+  bool Open() const { return m_socket.is_open(); }
+
+  // Called by the exchange in progress; `sequence` tells a late call apart.
+  void Send(std::size_t sequence,
+            int status,
+            const HttpHeaders& headers,
+            std::string_view body);
+  void BeginStream(std::size_t sequence,
+                   int status,
+                   const HttpHeaders& headers);
+  void Write(std::size_t sequence, std::string_view data);
+  void End(std::size_t sequence);
+  void Abort(std::size_t sequence);
+  void SetLeft(std::size_t sequence, std::function<void()> callback);
+  std::size_t UnsentBytes() const { return m_out.size() + m_writing.size(); }
+
+ private:
+  enum class Phase {
+    kReading,     ///< Waits for a request, or reads it.
+    kResponding,  ///< A request was handed to the handler.
+    kClosing,     ///< The last response is written; input is discarded.
+  };
+
+  bool Current(std::size_t sequence) const {
+    return m_phase == Phase::kResponding && sequence == m_sequence &&
+           m_socket.is_open();
+  }
+  void Read();
+  void OnRead(std::size_t length);
+  void Consume();
+  void OnHead();
+  void OnRequest();
+  void Reject(int status);
+  std::string Head(int status, const HttpHeaders& headers) const;
+  void Flush();
+  void FinishResponse();
+  void BeginClosing();
+  void CloseNow();
+  void NotifyLeft();
+
+  asio::ip::tcp::socket m_socket;
+  std::shared_ptr<const ServerShared> m_shared;
+  MessageParser m_parser{HTTP_REQUEST};
+  std::array<char, 16384> m_buffer{};
+  std::string m_input;  ///< Received and not yet parsed.
+  std::string m_body;
+  std::string m_out;
+  std::string m_writing;
+  std::function<void()> m_on_left;
+  std::size_t m_sequence = 0;
+  Phase m_phase = Phase::kReading;
+  Time m_phase_since{};
+  int m_rejected = 0;  ///< Status of a request that is refused unread.
+  bool m_read_pending = false;
+  bool m_write_pending = false;
+  bool m_keep_alive = true;
+  bool m_head_request = false;
+  bool m_first_byte_seen = false;
+};
+
+}  // namespace jasminehatch::net
+
+#endif  // JASMINEHATCH_STREAM_SERVER_CONNECTION_H_
--- /dev/null
+++ b/packages/net/src/stream/stream_client.cc
@@ -0,0 +1,458 @@
+#include "jasminehatch/detail/stream/stream_client.h"
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "message_parser.h"
+#include "message_text.h"
+
+namespace jasminehatch::net {
+namespace {
+
+using asio::ip::tcp;
+using Time = std::chrono::steady_clock::time_point;
+
+/// Part of the idle time that an upstream allows in which a connection is
+/// reused; the rest covers requests that cross its close.
+constexpr double kIdleShare = 0.6;
+
+bool ParseAddress(const std::string& address, tcp::endpoint& endpoint) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  unsigned port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed =
+      std::from_chars(address.data() + colon + 1, end, port);
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+  if (error || parsed.ptr != end || port == 0 || port > 65535) {
+    return false;
+  }
+  endpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+  return true;
+}
+
+std::string RequestHead(const StreamCall& call) {
+  std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
+  for (const HttpHeader& header : call.headers) {
+    AppendHeader(text, header);
+  }
+  if (!call.body.empty() || (call.method != "GET" && call.method != "HEAD")) {
+    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  }
+  text += "\r\n";
+  return text;
+}
+
+/// @return the idle time that a `Keep-Alive: timeout=N` header allows
+std::chrono::milliseconds KeepAliveTime(const HttpHeaders& headers,
+                                        std::chrono::milliseconds longest) {
+  const std::string_view value = FindHeader(headers, "Keep-Alive");
+  const std::size_t at = value.find("timeout=");
+  if (at == std::string_view::npos) {
+    return longest;
+  }
+  double seconds = 0;
+  std::from_chars(value.data() + at + 8, value.data() + value.size(), seconds);
+  const std::chrono::milliseconds allowed(
+      static_cast<std::int64_t>(seconds * 1000 * kIdleShare));
+  return std::min(allowed, longest);
+}
+
+}  // namespace
+
+class StreamClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& loop, const Options& options)
+      : m_loop(loop), m_options(options) {}
+
+  CallId Start(StreamCall call, Callbacks callbacks);
+  void Cancel(CallId id);
+  void DropIdle(const std::string& address);
+  void Shutdown();
+
+ private:
+  /// One connection to an upstream, idle or with one call.
+  struct Connection {
+    Connection(asio::io_context& loop, std::string where)
+        : socket(loop), address(std::move(where)) {}
+    tcp::socket socket;
+    std::string address;
+    MessageParser parser{HTTP_RESPONSE};
+    std::array<char, 16384> buffer{};
+    std::uint64_t call = 0;  ///< 0 while idle.
+    Time idle_until{};
+    bool reading = false;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  struct Call {
+    Call(asio::io_context& loop, StreamCall c, Callbacks cb)
+        : request(std::move(c)),
+          callbacks(std::move(cb)),
+          connect_timer(loop),
+          timer(loop) {}
+    StreamCall request;
+    Callbacks callbacks;
+    asio::steady_timer connect_timer;
+    asio::steady_timer timer;
+    ConnectionPtr connection;
+    std::string head;
+    bool handed_over = false;  ///< Bytes of the request may be on the wire.
+    bool sent = false;
+    bool head_received = false;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  ConnectionPtr TakeIdle(const std::string& address);
+  void Connect(CallId id, const CallPtr& call);
+  void SendRequest(CallId id, const CallPtr& call);
+  void Read(const ConnectionPtr& connection);
+  void OnRead(const ConnectionPtr& connection,
+              const asio::error_code& error,
+              std::size_t length);
+  void OnHead(const ConnectionPtr& connection);
+  void Complete(const ConnectionPtr& connection, bool reusable);
+  void Finish(CallId id, StreamEnd::Kind kind, std::string detail);
+  void KeepIdle(const ConnectionPtr& connection,
+                std::chrono::milliseconds keep);
+  static void Close(const ConnectionPtr& connection);
+  CallPtr Find(CallId id) const {
+    const auto found = m_calls.find(id);
+    return found == m_calls.end() ? nullptr : found->second;
+  }
+
+  asio::io_context& m_loop;
+  Options m_options;
+  std::unordered_map<CallId, CallPtr> m_calls;
+  std::unordered_map<std::string, std::vector<ConnectionPtr>> m_idle;
+  CallId m_next_id = 1;
+};
+
+StreamClient::CallId StreamClient::Impl::Start(StreamCall request,
+                                               Callbacks callbacks) {
+  const CallId id = m_next_id++;
+  auto call = std::make_shared<Call>(m_loop, std::move(request),
+                                     std::move(callbacks));
+  m_calls.emplace(id, call);
+  if (call->request.total_timeout.count() > 0) {
+    call->timer.expires_after(call->request.total_timeout);
+    call->timer.async_wait(
+        [self = shared_from_this(), id](const asio::error_code& error) {
+          if (!error) {
+            self->Finish(id, StreamEnd::Kind::kTimedOut, "time limit reached");
+          }
+        });
+  }
+  if (auto idle = TakeIdle(call->request.address)) {
+    call->connection = std::move(idle);
+    call->connection->call = id;
+    SendRequest(id, call);
+  } else {
+    Connect(id, call);
+  }
+  return id;
+}
+
+StreamClient::Impl::ConnectionPtr StreamClient::Impl::TakeIdle(
+    const std::string& address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  const Time now = std::chrono::steady_clock::now();
+  auto& connections = found->second;
+  while (!connections.empty()) {
+    ConnectionPtr connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection->socket.is_open() && connection->idle_until > now) {
+      return connection;
+    }
+    Close(connection);
+  }
+  m_idle.erase(found);
+  return nullptr;
+}
+
+void StreamClient::Impl::Connect(CallId id, const CallPtr& call) {
+  tcp::endpoint endpoint;
+  if (!ParseAddress(call->request.address, endpoint)) {
+    asio::post(m_loop, [self = shared_from_this(), id] {
+      self->Finish(id, StreamEnd::Kind::kNotSent, "the address is not valid");
+    });
+    return;
+  }
+  call->connection =
+      std::make_shared<Connection>(m_loop, call->request.address);
+  call->connection->call = id;
+  call->connect_timer.expires_after(m_options.connect_timeout);
+  call->connect_timer.async_wait(
+      [self = shared_from_this(), id](const asio::error_code& error) {
+        const CallPtr current = self->Find(id);
+        if (!error && current && !current->handed_over) {
+          self->Finish(id, StreamEnd::Kind::kNotSent, "connecting timed out");
+        }
+      });
+  call->connection->socket.async_connect(
+      endpoint, [self = shared_from_this(), id](const asio::error_code& error) {
+        const CallPtr current = self->Find(id);
+        if (!current) {
+          return;
+        }
+        if (error) {
+          self->Finish(id, StreamEnd::Kind::kNotSent, error.message());
+          return;
+        }
+        current->connect_timer.cancel();
+        self->SendRequest(id, current);
+      });
+}
+
+void StreamClient::Impl::SendRequest(CallId id, const CallPtr& call) {
+  Connection& connection = *call->connection;
+  connection.parser.Reset();
+  if (call->request.method == "HEAD") {
+    connection.parser.ExpectNoBody();
+  }
+  asio::error_code ignored;
+  connection.socket.set_option(tcp::no_delay(true), ignored);
+  const int limit_ms = static_cast<int>(m_options.send_timeout.count());
+  setsockopt(connection.socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &limit_ms, sizeof(limit_ms));
+  call->head = RequestHead(call->request);
+  call->handed_over = true;
+  const std::array<asio::const_buffer, 2> buffers{
+      asio::buffer(call->head), asio::buffer(call->request.body)};
+  asio::async_write(
+      connection.socket, buffers,
+      [self = shared_from_this(), id, call](const asio::error_code& error,
+                                            std::size_t /*length*/) {
+        // A failed write is left to the reader: a response may still arrive.
+        call->sent = !error;
+      });
+  Read(call->connection);
+}
+
+void StreamClient::Impl::Read(const ConnectionPtr& connection) {
+  if (connection->reading || !connection->socket.is_open()) {
+    return;
+  }
+  connection->reading = true;
+  connection->socket.async_read_some(
+      asio::buffer(connection->buffer),
+      [self = shared_from_this(), connection](const asio::error_code& error,
+                                              std::size_t length) {
+        connection->reading = false;
+        self->OnRead(connection, error, length);
+      });
+}
+
+void StreamClient::Impl::OnRead(const ConnectionPtr& connection,
+                                const asio::error_code& error,
+                                std::size_t length) {
+  const CallId id = connection->call;
+  const CallPtr call = Find(id);
+  if (!call || call->connection != connection) {
+    // Idle: the upstream closed, or sent bytes that belong to no request.
+    Close(connection);
+    const auto idle = m_idle.find(connection->address);
+    if (idle != m_idle.end()) {
+      std::erase(idle->second, connection);
+    }
+    return;
+  }
+  if (error) {
+    if (error == asio::error::eof && connection->parser.FeedEnd()) {
+      Complete(connection, false);
+      return;
+    }
+    Finish(id, StreamEnd::Kind::kBroken, error.message());
+    return;
+  }
+  std::string_view data(connection->buffer.data(), length);
+  while (!data.empty()) {
+    if (connection->parser.MessageComplete()) {
+      Complete(connection, false);
+      return;
+    }
+    const bool had_head = connection->parser.HeadComplete();
+    connection->parser.on_body = [&](std::string_view body) {
+      if (!call->head_received) {
+        OnHead(connection);
+      }
+      if (Find(id) && call->callbacks.on_data) {
+        call->callbacks.on_data(body);
+      }
+    };
+    const auto progress = connection->parser.Feed(data);
+    connection->parser.on_body = nullptr;
+    if (!Find(id)) {
+      return;
+    }
+    if (!progress.error.empty()) {
+      Finish(id, StreamEnd::Kind::kMalformed, progress.error);
+      return;
+    }
+    data.remove_prefix(progress.consumed);
+    if (connection->parser.HeadComplete() && !had_head &&
+        connection->parser.Status() / 100 == 1 &&
+        connection->parser.MessageComplete()) {
+      connection->parser.Reset();
+      continue;
+    }
+    if (connection->parser.HeadComplete() && !call->head_received) {
+      OnHead(connection);
+      if (!Find(id)) {
+        return;
+      }
+    }
+    if (connection->parser.MessageComplete()) {
+      Complete(connection, data.empty());
+      return;
+    }
+  }
+  Read(connection);
+}
+
+void StreamClient::Impl::OnHead(const ConnectionPtr& connection) {
+  const CallPtr call = Find(connection->call);
+  call->head_received = true;
+  if (call->callbacks.on_head) {
+    call->callbacks.on_head(
+        {connection->parser.Status(), connection->parser.Headers()});
+  }
+}
+
+void StreamClient::Impl::Complete(const ConnectionPtr& connection,
+                                  bool reusable) {
+  const CallId id = connection->call;
+  const CallPtr call = Find(id);
+  // An upstream that answered before it read the whole request still expects
+  // the rest of the body on this connection.
+  const bool keep = reusable && call->sent && connection->parser.KeepAlive();
+  const auto keep_time =
+      KeepAliveTime(connection->parser.Headers(), m_options.idle_limit);
+  m_calls.erase(id);
+  call->timer.cancel();
+  call->connection.reset();
+  if (keep) {
+    KeepIdle(connection, keep_time);
+  } else {
+    Close(connection);
+  }
+  if (call->callbacks.on_end) {
+    call->callbacks.on_end({StreamEnd::Kind::kComplete, true, {}});
+  }
+}
+
+void StreamClient::Impl::KeepIdle(const ConnectionPtr& connection,
+                                  std::chrono::milliseconds keep) {
+  auto& connections = m_idle[connection->address];
+  if (connections.size() >= m_options.idle_per_address ||
+      keep <= std::chrono::milliseconds::zero()) {
+    Close(connection);
+    return;
+  }
+  connection->call = 0;
+  connection->idle_until = std::chrono::steady_clock::now() + keep;
+  connections.push_back(connection);
+  Read(connection);
+}
+
+void StreamClient::Impl::Finish(CallId id,
+                                StreamEnd::Kind kind,
+                                std::string detail) {
+  const CallPtr call = Find(id);
+  if (!call) {
+    return;
+  }
+  m_calls.erase(id);
+  call->timer.cancel();
+  call->connect_timer.cancel();
+  if (call->connection) {
+    Close(call->connection);
+  }
+  if (!call->handed_over) {
+    kind = StreamEnd::Kind::kNotSent;
+  }
+  if (call->callbacks.on_end) {
+    call->callbacks.on_end({kind, call->head_received, std::move(detail)});
+  }
+}
+
+void StreamClient::Impl::Cancel(CallId id) {
+  const CallPtr call = Find(id);
+  if (!call) {
+    return;
+  }
+  call->callbacks = {};
+  Finish(id, StreamEnd::Kind::kBroken, "cancelled");
+}
+
+void StreamClient::Impl::DropIdle(const std::string& address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return;
+  }
+  for (const ConnectionPtr& connection : found->second) {
+    Close(connection);
+  }
+  m_idle.erase(found);
+}
+
+void StreamClient::Impl::Shutdown() {
+  for (const auto& [id, call] : m_calls) {
+    call->callbacks = {};
+    call->timer.cancel();
+    call->connect_timer.cancel();
+    if (call->connection) {
+      Close(call->connection);
+    }
+  }
+  m_calls.clear();
+  for (const auto& [address, connections] : m_idle) {
+    for (const ConnectionPtr& connection : connections) {
+      Close(connection);
+    }
+  }
+  m_idle.clear();
+}
+
+void StreamClient::Impl::Close(const ConnectionPtr& connection) {
+  asio::error_code ignored;
+  connection->socket.close(ignored);
+}
+
+StreamClient::StreamClient(asio::io_context& loop, const Options& options)
+    : m_impl(std::make_shared<Impl>(loop, options)) {}
+
+StreamClient::~StreamClient() {
+  m_impl->Shutdown();
+}
+
+StreamClient::CallId StreamClient::Start(StreamCall call, Callbacks callbacks) {
+  return m_impl->Start(std::move(call), std::move(callbacks));
+}
+
+void StreamClient::Cancel(CallId id) {
+  m_impl->Cancel(id);
+}
+
+void StreamClient::DropIdle(const std::string& address) {
+  m_impl->DropIdle(address);
+}
+
+}  // namespace jasminehatch::net
--- /dev/null
+++ b/packages/net/src/stream/stream_server.cc
@@ -0,0 +1,183 @@
+#include "jasminehatch/detail/stream/stream_server.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "jasminehatch/detail/base/exception.h"
+#include "server_connection.h"
+
+namespace jasminehatch::net {
+namespace {
+
+using asio::ip::tcp;
+
+/// Time limits of connections are checked this often.
+constexpr std::chrono::milliseconds kCheckInterval{250};
+
+/// Pause after a failed accept, which is mostly a lack of descriptors.
+constexpr std::chrono::milliseconds kAcceptRetry{50};
+
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+class StreamServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& loop,
+       const std::string& address,
+       std::uint16_t port,
+       Handler handler)
+      : m_acceptor(loop),
+        m_check_timer(loop),
+        m_accept_timer(loop),
+        m_shared(std::make_shared<ServerShared>()) {
+    m_shared->handler = std::move(handler);
+    asio::error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    if (!error) {
+      m_acceptor.open(ip.is_v4() ? tcp::v4() : tcp::v6(), error);
+    }
+    if (!error) {
+      m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      m_acceptor.bind(tcp::endpoint(ip, port), error);
+    }
+    if (!error) {
+      m_acceptor.listen(kBacklog, error);
+    }
+    if (error) {
+      throw TransportError(301, "cannot listen on " + address + ":" +
+                                    std::to_string(port) + ": " +
+                                    error.message());
+    }
+  }
+
+  void Start() {
+    Accept();
+    Check();
+  }
+
+  void Shutdown() {
+    StopAccepting();
+    m_check_timer.cancel();
+    for (const auto& connection : m_connections) {
+      connection->CheckTimeouts(ServerConnection::Time::max());
+    }
+  }
+
+  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  ServerShared& Shared() { return *m_shared; }
+
+  void StopAccepting() {
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+    m_accept_timer.cancel();
+    for (const auto& connection : m_connections) {
+      connection->CloseIfIdle();
+    }
+  }
+
+  std::size_t Busy() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto& c) { return c->Open() && c->Busy(); }));
+  }
+
+  std::size_t Count() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [](const auto& c) { return c->Open(); }));
+  }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([self = shared_from_this()](
+                                const asio::error_code& error,
+                                tcp::socket socket) {
+      if (!self->m_acceptor.is_open()) {
+        return;
+      }
+      if (error) {
+        self->m_accept_timer.expires_after(kAcceptRetry);
+        self->m_accept_timer.async_wait([self](const asio::error_code& stop) {
+          if (!stop) {
+            self->Accept();
+          }
+        });
+        return;
+      }
+      auto connection =
+          std::make_shared<ServerConnection>(std::move(socket), self->m_shared);
+      self->m_connections.push_back(connection);
+      connection->Start();
+      self->Accept();
+    });
+  }
+
+  void Check() {
+    m_check_timer.expires_after(kCheckInterval);
+    m_check_timer.async_wait(
+        [self = shared_from_this()](const asio::error_code& error) {
+          if (error) {
+            return;
+          }
+          const auto now = std::chrono::steady_clock::now();
+          for (const auto& connection : self->m_connections) {
+            connection->CheckTimeouts(now);
+          }
+          std::erase_if(self->m_connections,
+                        [](const auto& c) { return !c->Open(); });
+          self->Check();
+        });
+  }
+
+  tcp::acceptor m_acceptor;
+  asio::steady_timer m_check_timer;
+  asio::steady_timer m_accept_timer;
+  std::shared_ptr<ServerShared> m_shared;
+  std::vector<std::shared_ptr<ServerConnection>> m_connections;
+};
+
+StreamServer::StreamServer(asio::io_context& loop,
+                           const std::string& address,
+                           std::uint16_t port,
+                           Handler handler)
+    : m_impl(
+          std::make_shared<Impl>(loop, address, port, std::move(handler))) {
+  m_impl->Start();
+}
+
+StreamServer::~StreamServer() {
+  m_impl->Shutdown();
+}
+
+std::uint16_t StreamServer::Port() const {
+  return m_impl->Port();
+}
+
+void StreamServer::SetLimits(const CallerLimits& limits) {
+  m_impl->Shared().limits = limits;
+}
+
+void StreamServer::CloseAfterResponses() {
+  m_impl->Shared().close_after_responses = true;
+}
+
+void StreamServer::StopAccepting() {
+  m_impl->StopAccepting();
+}
+
+std::size_t StreamServer::BusyConnections() const {
+  return m_impl->Busy();
+}
+
+std::size_t StreamServer::Connections() const {
+  return m_impl->Count();
+}
+
+}  // namespace jasminehatch::net
--- a/packages/telemetry/include/jasminehatch/telemetry.h
+++ b/packages/telemetry/include/jasminehatch/telemetry.h
@@ -4,6 +4,7 @@
 /// @file
 /// @brief Umbrella header of metrics and structured logs.
 
+#include "jasminehatch/detail/telemetry/decision_log.h"
 #include "jasminehatch/detail/telemetry/metrics.h"
 #include "jasminehatch/detail/telemetry/structured_log.h"
 
