--- /dev/null
+++ b/packages/codec/include/jasminehatch/detail/json/lease_text.h
@@ -0,0 +1,19 @@
+#ifndef JASMINEHATCH_DETAIL_JSON_LEASE_TEXT_H_
+#define JASMINEHATCH_DETAIL_JSON_LEASE_TEXT_H_
+
+#include <string>
+#include <string_view>
+
+#include "jasminehatch/detail/lease/lease_record.h"
+
+namespace jasminehatch::codec {
+
+/// @return the record as JSON
+std::string EncodeLease(const lease::LeaseRecord& record);
+
+/// @throw CodecError 230 when the text is no lease record
+lease::LeaseRecord DecodeLease(std::string_view text);
+
+}  // namespace jasminehatch::codec
+
+#endif  // JASMINEHATCH_DETAIL_JSON_LEASE_TEXT_H_
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -44,6 +44,12 @@
   Duration suspend_time = std::chrono::milliseconds(700);
   Duration max_suspend_time = std::chrono::seconds(5);
 
+  /// An upstream that rejected a request is passed over this long.
+  Duration reject_pause = std::chrono::milliseconds(100);
+  /// The same when it has older weights than were named, since it is probably
+  /// changing them.
+  Duration change_pause = std::chrono::milliseconds(400);
+
   /// An idempotent request that got no answer after this share of its time is
   /// sent to another upstream.
   double hedge_share = 0.4;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -18,6 +18,9 @@
   std::optional<MonotonicTime> removed_at;  ///< The entry is gone.
   bool loading = false;                     ///< A change of weights runs.
 
+  /// It rejected a request as full or as changing its weights.
+  std::optional<MonotonicTime> paused_until;
+
   std::uint32_t in_flight = 0;  ///< Attempts of this daemon.
   double load_reported = 0;     ///< Running and waiting, of all daemons.
   double load_change = 0;       ///< Own attempts since the report.
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -95,7 +95,8 @@
   }
 
   bool Suspended(const Upstream& upstream) const {
-    return upstream.suspended_until && m_now < *upstream.suspended_until;
+    return (upstream.suspended_until && m_now < *upstream.suspended_until) ||
+           (upstream.paused_until && m_now < *upstream.paused_until);
   }
 
   bool Fits(const Upstream& upstream) const {
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -99,6 +99,8 @@
   std::optional<MonotonicTime> GiveUpTime(const Request& request) const;
   void EndAttempt(Request& request);
   void JudgeUpstream(const Request& request, const AttemptEnded& event);
+  Duration PauseAfterRejection(const Request& request,
+                               const Upstream& upstream) const;
   void AfterNotRun(Request& request, const AttemptEnded& event);
   void AfterFailure(Request& request, const AttemptEnded& event);
   /// @return whether another attempt was started
@@ -341,6 +343,16 @@
   request.attempt.reset();
 }
 
+Duration Stepper::PauseAfterRejection(const Request& request,
+                                      const Upstream& upstream) const {
+  const auto& prompt = request.arrival.prompt;
+  const auto named =
+      prompt ? m_state.upstreams.Named(prompt->model) : std::nullopt;
+  return named && upstream.Weights(prompt->model) < named->version
+             ? m_state.options.change_pause
+             : m_state.options.reject_pause;
+}
+
 void Stepper::JudgeUpstream(const Request& request,
                             const AttemptEnded& event) {
   Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream);
@@ -352,8 +364,7 @@
       upstream->NoteSuccess();
       return;
     case AttemptOutcome::kNotRun:
-      // It is full, or is leaving; its load says so to the next requests.
-      upstream->load_change += 1;
+      upstream->paused_until = m_now + PauseAfterRejection(request, *upstream);
       return;
     case AttemptOutcome::kNotSent:
       upstream->NoteFailure(true, m_now, m_state.options);
--- /dev/null
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -0,0 +1,133 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDER_WEIGHTS_ROLLOUT_H_
+#define JASMINEHATCH_DETAIL_FORWARDER_WEIGHTS_ROLLOUT_H_
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+
+#include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/lease/effect.h"
+#include "jasminehatch/detail/lease/event.h"
+#include "jasminehatch/detail/lease/state.h"
+#include "jasminehatch/detail/platform/engine_control.h"
+#include "jasminehatch/detail/platform/store_client.h"
+#include "jasminehatch/detail/rollout/effect.h"
+#include "jasminehatch/detail/rollout/event.h"
+#include "jasminehatch/detail/rollout/state.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch {
+class Clock;
+}
+
+namespace jasminehatch::telemetry {
+class DecisionLog;
+}
+
+namespace jasminehatch::daemon {
+
+class ForwardingHost;
+
+/// @brief Brings the model engines to the weights that the operators named.
+///
+/// One daemon at a time orders, by a lease in the platform's store that is
+/// claimed only while an engine has older weights. The lease concern decides
+/// who orders, the rollout concern which engine is next.
+class WeightsRollout {
+ public:
+  struct Options {
+    std::string daemon;
+    std::uint64_t incarnation = 0;
+    /// Least time between the orders of two daemons.
+    Duration lease_time = std::chrono::seconds(3);
+    bool upstreams_check_fences = true;
+  };
+
+  WeightsRollout(asio::io_context& loop,
+                 const Clock& clock,
+                 platform::StoreClient& store,
+                 platform::EngineControl& engines,
+                 ForwardingHost& host,
+                 telemetry::DecisionLog& log,
+                 const Options& options);
+
+  /// Looks whether an engine has older weights than were named; call it after
+  /// each change of the registry or the named weights.
+  void Update();
+
+  /// Orders nothing more.
+  void Stop();
+
+ private:
+  /// A model on an upstream.
+  struct Target {
+    std::string upstream;
+    std::string address;
+    std::string model;
+    std::uint64_t current = 0;  ///< 0 when it is not known.
+    std::uint64_t wanted = 0;
+  };
+
+  /// What the last report of an upstream said.
+  struct Report {
+    std::uint64_t orders_accepted = 0;
+    bool busy = false;
+    MonotonicTime asked_at{};
+    bool asking = false;
+    bool known = false;
+  };
+
+  std::map<std::string, Target> CollectTargets() const;
+  void Tick();
+  void Activate();
+  void Deactivate();
+  void ApplyTargets();
+  void QueryReports();
+  void OnReport(const std::string& key,
+                const std::optional<platform::EngineReport>& report);
+  void ReadLease();
+  void OnLeaseRecords(const platform::StorePage& page);
+  void StepLease(const lease::Event& event);
+  void StepRollout(const rollout::Event& event);
+  void Execute(const lease::AppendLease& effect);
+  void Execute(const lease::ReadRecords& effect);
+  void Execute(const lease::SendOrder& effect);
+  void Execute(const lease::HolderChanged& effect);
+  void Execute(const rollout::OrderLoad& effect);
+  void Execute(const rollout::ReportPaused& effect);
+  void OnOrderAnswer(const std::string& key, platform::OrderAnswer answer);
+  void ReportState(const Target& target);
+  void Arm();
+
+  const Clock& m_clock;
+  platform::StoreClient& m_store;
+  platform::EngineControl& m_engines;
+  ForwardingHost& m_host;
+  telemetry::DecisionLog& m_log;
+  Options m_options;
+  asio::steady_timer m_timer;
+  lease::State m_lease;
+  rollout::State m_rollout;
+  std::map<std::string, Target> m_targets;  ///< By upstream and model.
+  std::map<std::string, Report> m_reports;
+  std::set<std::string> m_loading;  ///< Keys of accepted orders.
+  std::uint64_t m_next_record = 0;
+  MonotonicTime m_last_read{};
+  MonotonicTime m_claim_from{};
+  bool m_reading = false;
+  bool m_active = false;
+  bool m_ticking = false;
+  bool m_stopped = false;
+};
+
+}  // namespace jasminehatch::daemon
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDER_WEIGHTS_ROLLOUT_H_
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -17,6 +17,7 @@
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
 #include "jasminehatch/detail/forwarder/topic_follower.h"
+#include "jasminehatch/detail/forwarder/weights_rollout.h"
 #include "jasminehatch/net.h"
 #include "jasminehatch/platform.h"
 #include "jasminehatch/telemetry.h"
@@ -108,6 +109,15 @@
                m_log,
                m_metrics,
                PolicyOf(settings)),
+        m_engines(m_http_client),
+        m_rollout(loop,
+                  clock,
+                  m_store,
+                  m_engines,
+                  m_host,
+                  m_log,
+                  {settings.name, incarnation, settings.lease_time,
+                   settings.upstreams_check_fences}),
         m_configuration(loop,
                         m_store,
                         clock,
@@ -126,7 +136,6 @@
     const std::array fields{
         DecisionLogField{"name", settings.name},
         DecisionLogField{"zone", settings.zone}};
-    (void)incarnation;
     m_log.Write(DecisionLog::Level::kState, "started", fields);
     Listen(loop);
     m_configuration.Start();
@@ -149,6 +158,7 @@
     m_on_stopped = std::move(on_stopped);
     m_stop_at = m_clock.Now();
     m_server->CloseAfterResponses();
+    m_rollout.Stop();
     CheckStop();
   }
 
@@ -177,6 +187,8 @@
   net::StreamClient m_stream_client;
   platform::StoreClient m_store;
   ForwardingHost m_host;
+  platform::EngineControl m_engines;
+  WeightsRollout m_rollout;
   TopicFollower m_configuration;
   TopicFollower m_registry;
   std::unique_ptr<net::StreamServer> m_server;
@@ -261,6 +273,7 @@
     }
     m_registry_read = m_registry_read || !listed.entries.empty();
     m_host.Apply(listed);
+    m_rollout.Update();
   };
   callbacks.on_records = [this](auto records) { OnUpstreamRecords(records); };
   callbacks.on_caught_up = [](MonotonicTime) {};
@@ -294,6 +307,7 @@
       LogDependency("operator_record_invalid", record.key, error.what());
     }
   }
+  m_rollout.Update();
   if (m_host.State().table && m_server) {
     const forwarding::Limits& limits = m_host.State().table->Current().limits;
     m_server->SetLimits(
@@ -319,6 +333,7 @@
     m_registry_read = true;
     m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
   }
+  m_rollout.Update();
 }
 
 void Forwarder::Impl::CheckStop() {
