--- a/packages/core/include/jasminehatch/core.h
+++ b/packages/core/include/jasminehatch/core.h
@@ -38,6 +38,8 @@
 #include "jasminehatch/detail/config/snapshot_part.h"
 #include "jasminehatch/detail/config/state.h"
 #include "jasminehatch/detail/config/step.h"
+#include "jasminehatch/detail/forwarding/cache_event.h"
+#include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
 #include "jasminehatch/detail/forwarding/effect.h"
 #include "jasminehatch/detail/forwarding/event.h"
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -10,6 +10,7 @@
 
 #include "jasminehatch/detail/base/strong_id.h"
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/cache_event.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
 
 namespace jasminehatch::forwarding {
@@ -160,6 +161,9 @@
                            WeightsObserved,
                            UpstreamLoading,
                            AttemptEnded,
+                           CacheListed,
+                           CacheChanged,
+                           CacheStoreLost,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -12,6 +12,7 @@
 
 #include "jasminehatch/detail/base/strong_id.h"
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/request.h"
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
@@ -29,6 +30,7 @@
   /// When the newest read that proves the configuration current was sent.
   std::optional<MonotonicTime> confirmed_at;
   UpstreamDirectory upstreams;
+  CacheStores stores;
   std::unordered_map<RequestId, Request> requests;
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -16,6 +16,10 @@
 
 namespace jasminehatch::forwarding {
 
+/// @return the beginning of the salts of cached parts that were made on these
+/// weights
+std::string SaltPrefix(const std::string& model, std::uint64_t version);
+
 /// @brief The upstreams that the registry names, and the weights in force.
 class UpstreamDirectory {
  public:
@@ -59,6 +63,10 @@
   /// @return the newest weights of the model, if any were named
   std::optional<NamedWeights> Named(const std::string& model) const;
 
+  /// @return the beginnings of the salts of all weights that an upstream has,
+  /// or that were named
+  std::vector<std::string> SaltPrefixesInUse() const;
+
   const std::map<std::string, NamedWeights>& AllNamed() const {
     return m_named;
   }
--- /dev/null
+++ b/packages/core/src/forwarding/cache_stores.cc
@@ -0,0 +1,185 @@
+#include "jasminehatch/detail/forwarding/cache_stores.h"
+
+#include <algorithm>
+#include <set>
+
+#include "jasminehatch/detail/forwarding/stable_hash.h"
+
+namespace jasminehatch::forwarding {
+namespace {
+
+/// A save that no event has shown by then is taken for lost.
+constexpr std::chrono::seconds kPendingTime{4};
+
+/// Stores keep parts in blocks of this many tokens.
+constexpr std::uint64_t kBlockTokens = 16;
+
+std::uint64_t RoundUp(std::uint64_t tokens) {
+  return (tokens + kBlockTokens - 1) / kBlockTokens * kBlockTokens;
+}
+
+}  // namespace
+
+void CacheStores::Configure(std::span<const Service> services) {
+  std::set<std::string> named;
+  for (const Service& service : services) {
+    if (service.store) {
+      named.insert(service.store->address);
+      m_stores[service.store->address].spec = *service.store;
+    }
+  }
+  std::erase_if(m_stores,
+                [&](const auto& entry) { return !named.contains(entry.first); });
+}
+
+void CacheStores::Add(Store& store, const CachedPart& part) {
+  store.pending.erase({part.salt, part.id});
+  auto [place, inserted] = store.parts[part.salt].emplace(part.id, part.tokens);
+  if (!inserted) {
+    store.used_tokens -= RoundUp(place->second);
+    place->second = part.tokens;
+  }
+  store.used_tokens += RoundUp(part.tokens);
+}
+
+void CacheStores::Remove(Store& store, const CachedPart& part) {
+  const auto salt = store.parts.find(part.salt);
+  if (salt == store.parts.end()) {
+    return;
+  }
+  const auto found = salt->second.find(part.id);
+  if (found != salt->second.end()) {
+    store.used_tokens -= RoundUp(found->second);
+    salt->second.erase(found);
+  }
+  if (salt->second.empty()) {
+    store.parts.erase(salt);
+  }
+}
+
+void CacheStores::Apply(const CacheListed& event) {
+  const auto found = m_stores.find(event.store);
+  if (found == m_stores.end()) {
+    return;
+  }
+  Store& store = found->second;
+  store.reachable = true;
+  store.epoch = event.epoch;
+  store.parts.clear();
+  store.used_tokens = 0;
+  for (const CachedPart& part : event.parts) {
+    Add(store, part);
+  }
+}
+
+void CacheStores::Apply(const CacheChanged& event) {
+  const auto found = m_stores.find(event.store);
+  if (found == m_stores.end() || found->second.epoch != event.epoch) {
+    return;
+  }
+  found->second.reachable = true;
+  for (const CacheChange& change : event.changes) {
+    if (change.stored) {
+      Add(found->second, change.part);
+    } else {
+      Remove(found->second, change.part);
+    }
+  }
+}
+
+void CacheStores::Apply(const CacheStoreLost& event) {
+  const auto found = m_stores.find(event.store);
+  if (found != m_stores.end()) {
+    found->second.reachable = false;
+  }
+}
+
+std::string_view CacheStores::Find(std::string_view salt,
+                                   const std::string& id,
+                                   std::uint32_t tokens,
+                                   std::string_view zone) const {
+  const Store* best = nullptr;
+  const auto cost = [&](const Store& store) {
+    return std::pair(store.spec.zone != zone, store.spec.first_byte_delay);
+  };
+  for (const auto& [address, store] : m_stores) {
+    if (!store.reachable) {
+      continue;
+    }
+    const auto parts = store.parts.find(salt);
+    if (parts == store.parts.end()) {
+      continue;
+    }
+    const auto part = parts->second.find(id);
+    if (part != parts->second.end() && part->second >= tokens &&
+        (best == nullptr || cost(store) < cost(*best))) {
+      best = &store;
+    }
+  }
+  return best == nullptr ? std::string_view{} : best->spec.address;
+}
+
+std::string_view CacheStores::Reserve(std::string_view salt,
+                                      const std::string& id,
+                                      std::uint32_t tokens,
+                                      MonotonicTime now) {
+  Store* best = nullptr;
+  double best_rank = 0;
+  const std::uint64_t name = StableHash(id, StableHash(salt));
+  for (auto& [address, store] : m_stores) {
+    if (!store.reachable) {
+      continue;
+    }
+    const auto pending = store.pending.find({std::string(salt), id});
+    if (pending != store.pending.end() && now < pending->second) {
+      return {};
+    }
+    const std::uint64_t free =
+        store.spec.capacity_tokens > store.used_tokens
+            ? store.spec.capacity_tokens - store.used_tokens
+            : 0;
+    if (free < RoundUp(tokens)) {
+      continue;
+    }
+    // Larger stores get more parts; equal on all daemons.
+    constexpr double kRange = 1ULL << 53U;
+    const double draw =
+        static_cast<double>(StableHash(address, name) >> 11U) / kRange;
+    const double rank = static_cast<double>(store.spec.capacity_tokens) * draw;
+    if (best == nullptr || rank > best_rank) {
+      best = &store;
+      best_rank = rank;
+    }
+  }
+  if (best == nullptr) {
+    return {};
+  }
+  std::erase_if(best->pending,
+                [now](const auto& entry) { return entry.second <= now; });
+  best->pending[{std::string(salt), id}] = now + kPendingTime;
+  return best->spec.address;
+}
+
+std::vector<CachedPart> CacheStores::Unused(
+    const Store& store,
+    const std::vector<std::string>& salt_prefixes_in_use,
+    std::size_t limit) const {
+  std::vector<CachedPart> unused;
+  for (const auto& [salt, parts] : store.parts) {
+    if (std::any_of(salt_prefixes_in_use.begin(), salt_prefixes_in_use.end(),
+                    [&salt = salt](const std::string& prefix) {
+                      return salt.starts_with(prefix);
+                    })) {
+      continue;
+    }
+    for (const auto& [id, tokens] : parts) {
+      if (unused.size() >= limit) {
+        return unused;
+      }
+      unused.push_back({salt, id, tokens});
+    }
+  }
+  return unused;
+}
+
+}  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -23,6 +23,12 @@
 /// An attempt is not started with less time left.
 constexpr std::chrono::milliseconds kMinimumTime{20};
 
+/// Longest time from the decision to the end of a fetch of cached parts.
+constexpr std::chrono::milliseconds kFetchTime{2500};
+
+/// Shorter parts are read again sooner than they are moved.
+constexpr std::uint32_t kLeastSavedTokens = 64;
+
 /// A resumable stream without a first event is given up after this many times
 /// its goal, and not before the least time.
 constexpr int kStreamGiveUpFactor = 4;
@@ -76,6 +82,9 @@
     }
   }
   void Apply(const AttemptEnded& event);
+  void Apply(const CacheListed& event) { m_state.stores.Apply(event); }
+  void Apply(const CacheChanged& event) { m_state.stores.Apply(event); }
+  void Apply(const CacheStoreLost& event) { m_state.stores.Apply(event); }
   void Apply(const TimerFired& event);
 
   Effects TakeEffects() { return std::move(m_effects); }
@@ -95,7 +104,10 @@
   void ChooseService(Request& request);
   void Dispatch(Request& request);
   void StartOn(Request& request, Upstream& upstream);
-  PromptOrder OrderFor(const Request& request, const Upstream& upstream) const;
+  PromptOrder OrderFor(const Request& request, const Upstream& upstream);
+  void PlanParts(const Request& request,
+                 const Upstream& upstream,
+                 PromptOrder& order);
   std::optional<MonotonicTime> GiveUpTime(const Request& request) const;
   void EndAttempt(Request& request);
   void JudgeUpstream(const Request& request, const AttemptEnded& event);
@@ -131,6 +143,7 @@
     return;
   }
   m_state.table = std::make_shared<const RouteTable>(event.configuration);
+  m_state.stores.Configure(event.configuration.services);
 }
 
 void Stepper::Apply(const RequestReceived& event) {
@@ -277,17 +290,39 @@
 }
 
 PromptOrder Stepper::OrderFor(const Request& request,
-                              const Upstream& upstream) const {
+                              const Upstream& upstream) {
   const std::string& model = request.arrival.prompt->model;
   PromptOrder order;
   order.expected_version = upstream.Weights(model);
   // Cached parts are shared only between requests of the same weights, and
   // those of a dedicated workspace only within it.
-  order.salt = model + "/" + std::to_string(order.expected_version) + "/" +
+  order.salt = SaltPrefix(model, order.expected_version) +
                (request.dedicated ? request.workspace : "");
+  PlanParts(request, upstream, order);
   return order;
 }
 
+void Stepper::PlanParts(const Request& request,
+                        const Upstream& upstream,
+                        PromptOrder& order) {
+  const auto& parts = request.arrival.prompt->parts;
+  order.fetch.resize(parts.size());
+  order.save.resize(parts.size());
+  order.fetch_until = m_now + kFetchTime;
+  // The last part is the request's own and does not return.
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    const PromptPart& part = parts[i];
+    const std::string_view holder = m_state.stores.Find(
+        order.salt, part.id, part.tokens, upstream.entry.zone);
+    if (!holder.empty()) {
+      order.fetch[i] = holder;
+    } else if (part.tokens >= kLeastSavedTokens) {
+      order.save[i] =
+          m_state.stores.Reserve(order.salt, part.id, part.tokens, m_now);
+    }
+  }
+}
+
 std::optional<MonotonicTime> Stepper::GiveUpTime(const Request& request) const {
   const bool last = request.runs + 1 >= request.route->attempts;
   if (!request.Repeatable() || last) {
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -5,6 +5,10 @@
 
 namespace jasminehatch::forwarding {
 
+std::string SaltPrefix(const std::string& model, std::uint64_t version) {
+  return model + "/" + std::to_string(version) + "/";
+}
+
 void UpstreamDirectory::Register(const UpstreamEntry& entry) {
   if (Upstream* known = Find(entry.id)) {
     if (known->entry.started_at == entry.started_at &&
@@ -121,6 +125,19 @@
          (m_removals_wait_until && now < *m_removals_wait_until);
 }
 
+std::vector<std::string> UpstreamDirectory::SaltPrefixesInUse() const {
+  std::set<std::string> prefixes;
+  for (const auto& [model, named] : m_named) {
+    prefixes.insert(SaltPrefix(model, named.version));
+  }
+  for (const auto& [id, upstream] : m_upstreams) {
+    for (const auto& [model, version] : upstream->entry.weights) {
+      prefixes.insert(SaltPrefix(model, version));
+    }
+  }
+  return {prefixes.begin(), prefixes.end()};
+}
+
 std::optional<UpstreamDirectory::NamedWeights> UpstreamDirectory::Named(
     const std::string& model) const {
   const auto found = m_named.find(model);
--- /dev/null
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
@@ -0,0 +1,70 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDER_CACHE_STORE_FOLLOWER_H_
+#define JASMINEHATCH_DETAIL_FORWARDER_CACHE_STORE_FOLLOWER_H_
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/platform/engine_control.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch {
+class Clock;
+}
+
+namespace jasminehatch::telemetry {
+class DecisionLog;
+}
+
+namespace jasminehatch::daemon {
+
+class ForwardingHost;
+
+/// @brief Follows the content of one cache store, and frees parts that were
+/// made on weights that no engine has any more.
+class CacheStoreFollower {
+ public:
+  CacheStoreFollower(asio::io_context& loop,
+                     const Clock& clock,
+                     platform::EngineControl& engines,
+                     ForwardingHost& host,
+                     telemetry::DecisionLog& log,
+                     std::string address,
+                     std::chrono::milliseconds free_turn);
+
+  void Start() { List(); }
+
+ private:
+  void List();
+  void Read();
+  void OnChanges(const std::optional<platform::CachePage>& page);
+  void NoteLost();
+  void FreeUnused();
+  void After(std::chrono::milliseconds delay,
+             void (CacheStoreFollower::*next)());
+
+  const Clock& m_clock;
+  platform::EngineControl& m_engines;
+  ForwardingHost& m_host;
+  telemetry::DecisionLog& m_log;
+  std::string m_address;
+  std::chrono::milliseconds m_free_turn;
+  asio::steady_timer m_timer;
+  std::uint64_t m_epoch = 0;
+  std::uint64_t m_next = 0;
+  std::uint64_t m_clock_ms = 0;  ///< Shared clock at the last answer.
+  MonotonicTime m_clock_at{};
+  std::optional<MonotonicTime> m_unused_since;
+  bool m_reachable = true;
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace jasminehatch::daemon
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDER_CACHE_STORE_FOLLOWER_H_
--- /dev/null
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -0,0 +1,160 @@
+#include "jasminehatch/detail/forwarder/cache_store_follower.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <utility>
+#include <vector>
+
+#include "jasminehatch/detail/base/clock.h"
+#include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/platform.h"
+#include "jasminehatch/telemetry.h"
+
+namespace jasminehatch::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::DecisionLog;
+using telemetry::DecisionLogField;
+
+/// Reads that wait less are priced like health checks.
+constexpr milliseconds kWait{900};
+
+constexpr milliseconds kRetryDelay{300};
+
+/// Pause between two reads, in which changes collect.
+constexpr milliseconds kPause{60};
+
+/// Parts of replaced weights are freed this long after the last engine has
+/// left those weights: longer than any fetch of them can take.
+constexpr milliseconds kFreeDelay{3000};
+
+/// A free is not carried out later than this after it was decided.
+constexpr std::uint64_t kFreeTimeMs = 1500;
+
+/// Parts that one call frees.
+constexpr std::size_t kFreeLimit = 500;
+
+}  // namespace
+
+CacheStoreFollower::CacheStoreFollower(asio::io_context& loop,
+                                       const Clock& clock,
+                                       platform::EngineControl& engines,
+                                       ForwardingHost& host,
+                                       telemetry::DecisionLog& log,
+                                       std::string address,
+                                       std::chrono::milliseconds free_turn)
+    : m_clock(clock),
+      m_engines(engines),
+      m_host(host),
+      m_log(log),
+      m_address(std::move(address)),
+      m_free_turn(free_turn),
+      m_timer(loop) {}
+
+void CacheStoreFollower::List() {
+  m_engines.ListCache(m_address, [this, alive = std::weak_ptr<int>(m_alive)](
+                                     const auto& page) {
+    if (alive.expired()) {
+      return;
+    }
+    if (!page) {
+      NoteLost();
+      After(kRetryDelay, &CacheStoreFollower::List);
+      return;
+    }
+    m_reachable = true;
+    m_epoch = page->epoch;
+    m_next = page->next;
+    forwarding::CacheListed listed{m_address, page->epoch, {}};
+    for (const forwarding::CacheChange& change : page->changes) {
+      listed.parts.push_back(change.part);
+    }
+    const std::string count = std::to_string(listed.parts.size());
+    const std::array fields{DecisionLogField{"store", m_address},
+                            DecisionLogField{"parts", count}};
+    m_log.Write(DecisionLog::Level::kState, "cache_store_listed", fields);
+    m_host.Apply(listed);
+    Read();
+  });
+}
+
+void CacheStoreFollower::Read() {
+  m_engines.ReadCacheChanges(
+      m_address, m_next, kWait,
+      [this, alive = std::weak_ptr<int>(m_alive)](const auto& page) {
+        if (!alive.expired()) {
+          OnChanges(page);
+        }
+      });
+}
+
+void CacheStoreFollower::OnChanges(
+    const std::optional<platform::CachePage>& page) {
+  if (!page) {
+    NoteLost();
+    After(kRetryDelay, &CacheStoreFollower::List);
+    return;
+  }
+  if (page->epoch != m_epoch || page->lost) {
+    List();
+    return;
+  }
+  m_reachable = true;
+  m_next = page->next;
+  m_clock_ms = page->clock_ms;
+  m_clock_at = m_clock.Now();
+  m_host.Apply(
+      forwarding::CacheChanged{m_address, page->epoch, page->changes});
+  FreeUnused();
+  After(kPause, &CacheStoreFollower::Read);
+}
+
+void CacheStoreFollower::NoteLost() {
+  m_host.Apply(forwarding::CacheStoreLost{m_address});
+  if (std::exchange(m_reachable, false)) {
+    const std::array fields{DecisionLogField{"store", m_address}};
+    m_log.Write(DecisionLog::Level::kState, "cache_store_lost", fields);
+  }
+}
+
+void CacheStoreFollower::FreeUnused() {
+  const forwarding::State& state = m_host.State();
+  const auto store = state.stores.All().find(m_address);
+  if (store == state.stores.All().end() || !store->second.spec.managed_here ||
+      m_clock_ms == 0) {
+    return;
+  }
+  const auto in_use = state.upstreams.SaltPrefixesInUse();
+  const auto unused =
+      state.stores.Unused(store->second, in_use, kFreeLimit);
+  if (unused.empty()) {
+    m_unused_since.reset();
+    return;
+  }
+  const MonotonicTime now = m_clock.Now();
+  if (!m_unused_since) {
+    m_unused_since = now;
+  }
+  if (now - *m_unused_since < kFreeDelay + m_free_turn) {
+    return;
+  }
+  const std::string count = std::to_string(unused.size());
+  const std::array fields{DecisionLogField{"store", m_address},
+                          DecisionLogField{"parts", count}};
+  m_log.Write(DecisionLog::Level::kState, "cache_parts_freed", fields);
+  m_engines.FreeParts(m_address, m_epoch, m_clock_ms + kFreeTimeMs, unused);
+  m_unused_since = now - kFreeDelay;
+}
+
+void CacheStoreFollower::After(std::chrono::milliseconds delay,
+                               void (CacheStoreFollower::*next)()) {
+  m_timer.expires_after(delay);
+  m_timer.async_wait([this, next](const asio::error_code& error) {
+    if (!error) {
+      (this->*next)();
+    }
+  });
+}
+
+}  // namespace jasminehatch::daemon
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -8,6 +8,7 @@
 #include <asio/steady_timer.hpp>
 #include <charconv>
 #include <chrono>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,9 +16,11 @@
 #include "jasminehatch/codec.h"
 #include "jasminehatch/detail/base/clock.h"
 #include "jasminehatch/detail/base/exception.h"
+#include "jasminehatch/detail/forwarder/cache_store_follower.h"
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/detail/forwarder/weights_rollout.h"
+#include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/net.h"
 #include "jasminehatch/platform.h"
 #include "jasminehatch/telemetry.h"
@@ -51,6 +54,11 @@
 /// The balancer asks once a second and takes a daemon out after two misses.
 constexpr milliseconds kBalancerNotice{2600};
 
+/// Daemons free unused parts of a cache store one after another, this far
+/// apart, so that mostly only the first one finds any.
+constexpr milliseconds kFreeStep{500};
+constexpr std::uint64_t kFreeSteps = 6;
+
 constexpr milliseconds kStopCheck{50};
 constexpr milliseconds kLogFlush{200};
 
@@ -97,7 +105,8 @@
        const codec::ForwarderSettings& settings,
        const Clock& clock,
        std::uint64_t incarnation)
-      : m_settings(settings),
+      : m_loop(loop),
+        m_settings(settings),
         m_clock(clock),
         m_log(STDOUT_FILENO, clock, {}),
         m_http_client(loop),
@@ -173,12 +182,14 @@
   TopicFollower::Callbacks RegistryCallbacks();
   void OnOperatorRecords(std::span<const platform::StoreRecord> records);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
+  void FollowStores();
   void LogDependency(std::string_view event,
                      std::string_view dependency,
                      const std::string& detail);
   void CheckStop();
   void FlushLog();
 
+  asio::io_context& m_loop;
   codec::ForwarderSettings m_settings;
   const Clock& m_clock;
   DecisionLog m_log;
@@ -191,6 +202,7 @@
   WeightsRollout m_rollout;
   TopicFollower m_configuration;
   TopicFollower m_registry;
+  std::map<std::string, CacheStoreFollower> m_cache_stores;  ///< By address.
   std::unique_ptr<net::StreamServer> m_server;
   std::unique_ptr<net::HttpServer> m_ready_server;
   std::unique_ptr<net::HttpServer> m_metrics_server;
@@ -308,6 +320,7 @@
     }
   }
   m_rollout.Update();
+  FollowStores();
   if (m_host.State().table && m_server) {
     const forwarding::Limits& limits = m_host.State().table->Current().limits;
     m_server->SetLimits(
@@ -317,6 +330,22 @@
   }
 }
 
+void Forwarder::Impl::FollowStores() {
+  const auto& stores = m_host.State().stores.All();
+  std::erase_if(m_cache_stores, [&](const auto& entry) {
+    return !stores.contains(entry.first);
+  });
+  const milliseconds turn =
+      kFreeStep * (forwarding::StableHash(m_settings.name) % kFreeSteps);
+  for (const auto& [address, store] : stores) {
+    const auto [follower, added] = m_cache_stores.try_emplace(
+        address, m_loop, m_clock, m_engines, m_host, m_log, address, turn);
+    if (added) {
+      follower->second.Start();
+    }
+  }
+}
+
 void Forwarder::Impl::OnUpstreamRecords(
     std::span<const platform::StoreRecord> records) {
   for (const platform::StoreRecord& record : records) {
