--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,8 +1,10 @@
 add_library(jasminehatch_options INTERFACE)
 target_compile_options(jasminehatch_options INTERFACE
   -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror
-  # GCC 12 at -O3 takes members of moved variants for uninitialized.
+  # GCC 12 takes members of moved variants for uninitialized, and warns of an
+  # overlap within its own string concatenation.
   $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>
+  $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>
   # Designated initializers leave the other members at their defaults.
   -Wno-missing-field-initializers)
 
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -259,6 +259,15 @@
       {"by", placement.by_prompt ? "prompt" : "load"},
       {"left_ms", Milliseconds(request.deadline - m_now)},
       {"configuration", std::to_string(request.table->Current().version)}};
+  if (const auto& prompt = request.arrival.prompt) {
+    std::string parts;
+    for (const PromptPart& part : prompt->parts) {
+      parts += (parts.empty() ? "" : ",") + std::to_string(part.tokens);
+    }
+    fields.push_back({"parts", std::move(parts)});
+    fields.push_back(
+        {"output_tokens", std::to_string(prompt->max_output_tokens)});
+  }
   if (!cause.empty()) {
     fields.push_back({"cause", std::move(cause)});
   }
