Keep the time limit of each named weight version apart

A daemon that starts in a rollout now also takes the newest version as old when an engine has it. Ruled out: late reads (all daemons had read the name within 0.2 s).

--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -12,6 +12,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_event.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
+#include "jasminehatch/detail/forwarding/fleet_load.h"
 
 namespace jasminehatch::forwarding {
 
@@ -61,6 +62,8 @@
 struct WeightsNamed {
   std::string model;
   std::uint64_t version = 0;
+  /// The naming was read as it happened, not found at a start.
+  bool just_named = true;
 };
 
 /// @brief One part of a prompt.
@@ -75,6 +78,7 @@
   std::vector<PromptPart> parts;  ///< The last one is the request's own.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
+  std::uint32_t output_hint = 0;  ///< The caller's estimate; 0 for none.
 };
 
 /// A caller sent a request.
@@ -144,6 +148,11 @@
   std::string detail;      ///< For logs.
 };
 
+/// The number of other daemons that are thought to live.
+struct PeersKnown {
+  std::size_t count = 0;
+};
+
 /// The time returned by `State::NextTimer` has come.
 struct TimerFired {};
 
@@ -164,6 +173,8 @@
                            CacheListed,
                            CacheChanged,
                            CacheStoreLost,
+                           PeerLoadReported,
+                           PeersKnown,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -50,6 +50,13 @@
   /// changing them.
   Duration change_pause = std::chrono::milliseconds(400);
 
+  /// Requests are refused when each upstream would need more than this share
+  /// of its memory, and small ones when it would need `small_limit` more.
+  double memory_limit = 1.05;
+  double small_limit = 0.6;
+  /// Requests from this share of an upstream's memory on are not small.
+  double small_share = 1.0 / 16;
+
   /// An idempotent request that got no answer after this share of its time is
   /// sent to another upstream.
   double hedge_share = 0.4;
--- a/packages/core/include/jasminehatch/detail/forwarding/placement.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/placement.h
@@ -14,6 +14,8 @@
 /// @brief The upstream for an attempt, with what decided for it.
 struct Placement {
   Upstream* upstream = nullptr;  ///< Null when none can be used.
+  bool overloaded = false;  ///< None has room for the request in time.
+  double load = 0;          ///< Relative load of the upstream.
   std::size_t candidates = 0;
   double mean_load = 0;  ///< Mean of the candidates' relative loads.
   bool by_prompt = false;  ///< Chosen by the parts of the prompt.
@@ -29,7 +31,7 @@
 /// @param request the request; its earlier upstreams are avoided
 /// @param now the time of the decision
 /// Linear in the number of the service's upstreams.
-Placement ChooseUpstream(const State& state,
+Placement ChooseUpstream(State& state,
                          const Request& request,
                          MonotonicTime now);
 
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -13,6 +13,7 @@
 #include "jasminehatch/detail/base/strong_id.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_stores.h"
+#include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/request.h"
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
@@ -31,6 +32,7 @@
   std::optional<MonotonicTime> confirmed_at;
   UpstreamDirectory upstreams;
   CacheStores stores;
+  FleetLoad fleet;
   std::unordered_map<RequestId, Request> requests;
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -22,6 +22,7 @@
   std::optional<MonotonicTime> paused_until;
 
   std::uint32_t in_flight = 0;  ///< Attempts of this daemon.
+  std::uint64_t tokens = 0;     ///< Memory that those need.
   double load_reported = 0;     ///< Running and waiting, of all daemons.
   double load_change = 0;       ///< Own attempts since the report.
 
@@ -29,28 +30,25 @@
   std::optional<MonotonicTime> suspended_until;
   double failure_share = 0;  ///< Moving mean over the latest attempts.
 
-  /// @return requests that it is thought to have
+  /// @return requests that it is thought to have, from what it reported
   double Load() const {
     return std::max({load_reported + load_change,
                      static_cast<double>(in_flight), 0.0});
   }
 
-  /// @return load in relation to what it can run at once
-  double RelativeLoad() const {
-    return Load() / std::max<double>(entry.slots, 1);
-  }
-
   /// @return version of the weights of `model`, or 0 when it is not known
   std::uint64_t Weights(const std::string& model) const {
     const auto found = entry.weights.find(model);
     return found == entry.weights.end() ? 0 : found->second;
   }
 
-  void NoteSent() {
+  void NoteSent(std::uint64_t needed_tokens) {
+    tokens += needed_tokens;
     ++in_flight;
     load_change += 1;
   }
-  void NoteEnded() {
+  void NoteEnded(std::uint64_t needed_tokens) {
+    tokens -= std::min(tokens, needed_tokens);
     in_flight -= in_flight > 0 ? 1 : 0;
     load_change -= 1;
   }
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -27,6 +27,7 @@
   struct NamedWeights {
     std::uint64_t version = 0;
     MonotonicTime named_at{};
+    bool age_known = true;  ///< Else it may have been named long before.
   };
 
   void Register(const UpstreamEntry& entry);
@@ -67,7 +68,14 @@
   /// or that were named
   std::vector<std::string> SaltPrefixesInUse() const;
 
-  const std::map<std::string, NamedWeights>& AllNamed() const {
+  /// @return the version below which no request may start: the newest one that
+  /// was named at least `limit` ago, or 0
+  std::uint64_t Required(const std::string& model,
+                         MonotonicTime now,
+                         Duration limit) const;
+
+  /// @return the versions named for each model, oldest first
+  const std::map<std::string, std::vector<NamedWeights>>& AllNamed() const {
     return m_named;
   }
   std::size_t Size() const { return m_upstreams.size(); }
@@ -80,7 +88,7 @@
 
   std::map<std::string, std::unique_ptr<Upstream>> m_upstreams;
   std::unordered_map<std::string, std::vector<Upstream*>> m_by_service;
-  std::map<std::string, NamedWeights> m_named;
+  std::map<std::string, std::vector<NamedWeights>> m_named;
   std::optional<MonotonicTime> m_removals_wait_until;
 };
 
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -17,83 +17,142 @@
 /// more.
 constexpr double kZonePenalty = 0.04;
 
-double EffectiveLoad(const Upstream& upstream) {
-  return upstream.RelativeLoad() + kFailurePenalty * upstream.failure_share;
-}
+/// Relative load that an upstream with older weights seems to have more, when
+/// the newest are preferred.
+constexpr double kOldWeightsPenalty = 0.2;
+
+/// @brief Which weights an attempt may use.
+struct WeightsRule {
+  std::uint64_t required = 0;   ///< No older version.
+  std::uint64_t preferred = 0;  ///< Older versions seem to have more load.
+};
 
-/// Which weights an attempt may use.
-enum class WeightsRule { kAny, kPreferNewest, kOnlyNewest };
+bool AnyHas(const State& state, const Request& request, std::uint64_t version) {
+  const std::string& model = request.arrival.prompt->model;
+  const auto upstreams = state.upstreams.Of(request.service);
+  return std::any_of(upstreams.begin(), upstreams.end(),
+                     [&](const Upstream* upstream) {
+                       return upstream->Weights(model) >= version;
+                     });
+}
 
 WeightsRule RuleFor(const State& state,
                     const Request& request,
                     MonotonicTime now) {
+  WeightsRule rule;
   if (!request.arrival.prompt) {
-    return WeightsRule::kAny;
+    return rule;
   }
-  const auto named = state.upstreams.Named(request.arrival.prompt->model);
-  if (!named) {
-    return WeightsRule::kAny;
+  const std::string& model = request.arrival.prompt->model;
+  const Options& options = state.options;
+  rule.required =
+      state.upstreams.Required(model, now, options.version_hard_limit);
+  const auto newest = state.upstreams.Named(model);
+  if (!newest) {
+    return rule;
   }
-  const Duration age = now - named->named_at;
-  if (age >= state.options.version_hard_limit) {
-    return WeightsRule::kOnlyNewest;
+  if (!newest->age_known && AnyHas(state, request, newest->version)) {
+    // It may have been named long before this daemon started.
+    rule.required = newest->version;
   }
-  return age >= state.options.version_soft_limit ? WeightsRule::kPreferNewest
-                                                 : WeightsRule::kAny;
-}
-
-bool HasNewest(const State& state,
-               const Request& request,
-               const Upstream& upstream) {
-  const std::string& model = request.arrival.prompt->model;
-  const auto named = state.upstreams.Named(model);
-  return !named || upstream.Weights(model) >= named->version;
+  if (now - newest->named_at >= options.version_soft_limit) {
+    rule.preferred = newest->version;
+  }
+  return rule;
 }
 
 class Chooser {
  public:
-  Chooser(const State& state, const Request& request, MonotonicTime now)
+  Chooser(State& state, const Request& request, MonotonicTime now)
       : m_state(state),
         m_request(request),
         m_now(now),
-        m_rule(RuleFor(state, request, now)) {}
+        m_rule(RuleFor(state, request, now)),
+        m_heard_peers(state.fleet.Heard(now)) {
+    const Service* service =
+        request.table ? request.table->FindService(request.service) : nullptr;
+    if (service != nullptr && service->engine && request.arrival.prompt) {
+      m_memory = static_cast<double>(service->engine->cache_tokens);
+    }
+  }
 
   Placement Choose() {
     Collect(false);
     if (m_candidates.empty()) {
       Collect(true);
     }
-    if (m_rule == WeightsRule::kPreferNewest) {
-      KeepNewest();
-    }
     Placement placement;
     placement.candidates = m_candidates.size();
     if (m_candidates.empty()) {
       return placement;
     }
     double sum = 0;
-    for (const Upstream* upstream : m_candidates) {
-      sum += EffectiveLoad(*upstream);
+    for (const Candidate& candidate : m_candidates) {
+      sum += candidate.load;
     }
     placement.mean_load = sum / static_cast<double>(m_candidates.size());
     placement.by_prompt = m_request.arrival.prompt.has_value() &&
                           m_request.arrival.prompt->parts.size() > 1;
-    placement.upstream = placement.by_prompt
-                             ? ByPrompt(placement.mean_load)
-                             : LeastLoaded();
+    const Candidate& chosen = placement.by_prompt
+                                  ? ByPrompt(placement.mean_load)
+                                  : LeastLoaded();
+    placement.upstream = chosen.upstream;
+    placement.load = chosen.load;
+    placement.overloaded = m_memory > 0 && chosen.memory > MemoryLimit();
     return placement;
   }
 
  private:
+  /// @brief An upstream with what this decision needs of it.
+  struct Candidate {
+    Upstream* upstream = nullptr;
+    double memory = 0;  ///< Share of its memory, with this request.
+    double load = 0;    ///< Relative to what it can run, with penalties.
+  };
+
   /// @param suspended whether to take those that are left alone after failures
   void Collect(bool suspended) {
     for (Upstream* upstream : m_state.upstreams.Of(m_request.service)) {
       if (Fits(*upstream) && (suspended || !Suspended(*upstream))) {
-        m_candidates.push_back(upstream);
+        m_candidates.push_back(Measure(*upstream));
       }
     }
   }
 
+  Candidate Measure(Upstream& upstream) {
+    Candidate candidate;
+    candidate.upstream = &upstream;
+    const UpstreamShare others =
+        m_state.fleet.Of(FleetLoad::NameOf(upstream.entry.id), m_now);
+    const double requests =
+        m_heard_peers ? static_cast<double>(upstream.in_flight) +
+                            static_cast<double>(others.in_flight)
+                      : upstream.Load();
+    candidate.load = requests / std::max<double>(upstream.entry.slots, 1);
+    if (m_memory > 0) {
+      const std::uint64_t tokens =
+          upstream.tokens + others.tokens + m_request.tokens;
+      candidate.memory = static_cast<double>(tokens) / m_memory;
+      candidate.load = std::max(candidate.load, candidate.memory);
+    }
+    candidate.load += kFailurePenalty * upstream.failure_share;
+    if (m_rule.preferred > 0 &&
+        upstream.Weights(m_request.arrival.prompt->model) <
+            m_rule.preferred) {
+      candidate.load += kOldWeightsPenalty;
+    }
+    return candidate;
+  }
+
+  /// @return the share of its memory up to which an upstream takes the request.
+  /// Large requests are held back first: many small ones would wait for each.
+  double MemoryLimit() const {
+    const Options& options = m_state.options;
+    const double size = static_cast<double>(m_request.tokens) / m_memory;
+    const double smallness = 1 - std::min(1.0, size / options.small_share);
+    return options.memory_limit + options.small_limit * smallness;
+  }
+
   bool Suspended(const Upstream& upstream) const {
     return (upstream.suspended_until && m_now < *upstream.suspended_until) ||
            (upstream.paused_until && m_now < *upstream.paused_until);
@@ -112,72 +171,60 @@
     if (upstream.Weights(m_request.arrival.prompt->model) == 0) {
       return false;
     }
-    return m_rule != WeightsRule::kOnlyNewest ||
-           HasNewest(m_state, m_request, upstream);
-  }
-
-  /// Drops upstreams with old weights while others have room.
-  void KeepNewest() {
-    std::vector<Upstream*> newest;
-    bool room = false;
-    for (Upstream* upstream : m_candidates) {
-      if (HasNewest(m_state, m_request, *upstream)) {
-        newest.push_back(upstream);
-        room = room || EffectiveLoad(*upstream) < 1;
-      }
-    }
-    if (room) {
-      m_candidates = std::move(newest);
-    }
+    return upstream.Weights(m_request.arrival.prompt->model) >=
+           m_rule.required;
   }
 
-  Upstream* LeastLoaded() const {
-    const auto cost = [this](const Upstream& upstream) {
-      const bool near = upstream.entry.zone == m_state.options.zone;
-      return EffectiveLoad(upstream) + (near ? 0 : kZonePenalty);
+  const Candidate& LeastLoaded() const {
+    const auto cost = [this](const Candidate& candidate) {
+      const bool near = candidate.upstream->entry.zone == m_state.options.zone;
+      return candidate.load + (near ? 0 : kZonePenalty);
     };
     return *std::min_element(
         m_candidates.begin(), m_candidates.end(),
-        [&](const Upstream* left, const Upstream* right) {
-          return cost(*left) < cost(*right);
+        [&](const Candidate& left, const Candidate& right) {
+          return cost(left) < cost(right);
         });
   }
 
-  Upstream* ByPrompt(double mean_load) const {
+  const Candidate& ByPrompt(double mean_load) const {
     const auto& parts = m_request.arrival.prompt->parts;
     std::uint64_t prefix = 0;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
       prefix = StableHash(parts[i].id, prefix);
     }
-    Upstream* best = nullptr;
+    const Candidate* best = nullptr;
     std::uint64_t best_rank = 0;
-    for (Upstream* upstream : m_candidates) {
+    for (const Candidate& candidate : m_candidates) {
       const double limit =
           mean_load * m_state.options.overload_factor +
           m_state.options.overload_margin /
-              std::max<double>(upstream->entry.slots, 1);
-      if (EffectiveLoad(*upstream) > limit) {
+              std::max<double>(candidate.upstream->entry.slots, 1);
+      if (candidate.load > limit) {
         continue;
       }
-      const std::uint64_t rank = StableHash(upstream->entry.id, prefix);
+      const std::uint64_t rank =
+          StableHash(candidate.upstream->entry.id, prefix);
       if (best == nullptr || rank > best_rank) {
-        best = upstream;
+        best = &candidate;
         best_rank = rank;
       }
     }
-    return best == nullptr ? LeastLoaded() : best;
+    return best == nullptr ? LeastLoaded() : *best;
   }
 
-  const State& m_state;
+  State& m_state;
   const Request& m_request;
   MonotonicTime m_now;
   WeightsRule m_rule;
-  std::vector<Upstream*> m_candidates;
+  bool m_heard_peers;
+  double m_memory = 0;  ///< Of each upstream, in tokens; 0 without an engine.
+  std::vector<Candidate> m_candidates;
 };
 
 }  // namespace
 
-Placement ChooseUpstream(const State& state,
+Placement ChooseUpstream(State& state,
                          const Request& request,
                          MonotonicTime now) {
   return Chooser(state, request, now).Choose();
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -29,6 +29,9 @@
 /// Shorter parts are read again sooner than they are moved.
 constexpr std::uint32_t kLeastSavedTokens = 64;
 
+/// Answers are mostly this much shorter than their callers allow.
+constexpr std::uint32_t kOutputOfMaximum = 3;
+
 /// A resumable stream without a first event is given up after this many times
 /// its goal, and not before the least time.
 constexpr int kStreamGiveUpFactor = 4;
@@ -39,6 +42,16 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/// @return the memory that a request is expected to need on average while it
+/// runs, in tokens
+std::uint64_t ExpectedTokens(const Prompt& prompt) {
+  const std::uint32_t output =
+      prompt.output_hint > 0
+          ? std::min(prompt.output_hint, prompt.max_output_tokens)
+          : prompt.max_output_tokens / kOutputOfMaximum;
+  return std::uint64_t{prompt.prompt_tokens} + output;
+}
+
 /// Applies one event to the state and collects the effects.
 class Stepper {
  public:
@@ -85,6 +98,10 @@
   void Apply(const CacheListed& event) { m_state.stores.Apply(event); }
   void Apply(const CacheChanged& event) { m_state.stores.Apply(event); }
   void Apply(const CacheStoreLost& event) { m_state.stores.Apply(event); }
+  void Apply(const PeerLoadReported& event) {
+    m_state.fleet.Apply(event, m_now);
+  }
+  void Apply(const PeersKnown& event) { m_state.fleet.SetPeers(event.count); }
   void Apply(const TimerFired& event);
 
   Effects TakeEffects() { return std::move(m_effects); }
@@ -156,6 +173,7 @@
   request.arrival = event;
   request.arrived_at = m_now;
   request.last_event = event.resume_after;
+  request.tokens = event.prompt ? ExpectedTokens(*event.prompt) : 0;
   request.deadline = m_now + event.time_left.value_or(kDefaultDeadline);
   if (!m_state.table) {
     Refuse(request, RefusalCode::kConfigurationStale,
@@ -240,6 +258,12 @@
            "no upstream of service " + request.service + " can be used");
     return;
   }
+  if (placement.overloaded) {
+    Refuse(request, RefusalCode::kOverloaded,
+           "no upstream has memory for the request, load " +
+               std::to_string(placement.load));
+    return;
+  }
   LogPlacement(request, placement, "placed", "");
   StartOn(request, *placement.upstream);
 }
@@ -254,7 +278,7 @@
       {"workspace", request.workspace},
       {"upstream", upstream.entry.id},
       {"candidates", std::to_string(placement.candidates)},
-      {"load", std::to_string(upstream.RelativeLoad())},
+      {"load", std::to_string(placement.load)},
       {"mean_load", std::to_string(placement.mean_load)},
       {"by", placement.by_prompt ? "prompt" : "load"},
       {"left_ms", Milliseconds(request.deadline - m_now)},
@@ -279,7 +303,7 @@
   ++request.sends;
   request.attempt = Request::Attempt{id, upstream.entry.id,
                                      GiveUpTime(request), false};
-  upstream.NoteSent();
+  upstream.NoteSent(request.tokens);
   StartAttempt start;
   start.request = request.arrival.request;
   start.attempt = id;
@@ -381,7 +405,7 @@
   }
   if (Upstream* upstream =
           m_state.upstreams.Find(request.attempt->upstream)) {
-    upstream->NoteEnded();
+    upstream->NoteEnded(request.tokens);
   }
   request.tried.push_back(request.attempt->upstream);
   request.attempt.reset();
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -72,9 +72,15 @@
 
 void UpstreamDirectory::NameWeights(const WeightsNamed& named,
                                     MonotonicTime now) {
-  NamedWeights& known = m_named[named.model];
-  if (named.version > known.version) {
-    known = {named.version, now};
+  std::vector<NamedWeights>& versions = m_named[named.model];
+  if (versions.empty() || named.version > versions.back().version) {
+    versions.push_back({named.version, now, named.just_named});
+  }
+  // Each version has its own time limit, so that those before the newest count
+  // until they are as old as any limit.
+  constexpr std::size_t kVersionsKept = 16;
+  if (versions.size() > kVersionsKept) {
+    versions.erase(versions.begin());
   }
 }
 
@@ -127,8 +133,8 @@
 
 std::vector<std::string> UpstreamDirectory::SaltPrefixesInUse() const {
   std::set<std::string> prefixes;
-  for (const auto& [model, named] : m_named) {
-    prefixes.insert(SaltPrefix(model, named.version));
+  for (const auto& [model, versions] : m_named) {
+    prefixes.insert(SaltPrefix(model, versions.back().version));
   }
   for (const auto& [id, upstream] : m_upstreams) {
     for (const auto& [model, version] : upstream->entry.weights) {
@@ -141,7 +147,24 @@
 std::optional<UpstreamDirectory::NamedWeights> UpstreamDirectory::Named(
     const std::string& model) const {
   const auto found = m_named.find(model);
-  return found == m_named.end() ? std::nullopt : std::optional(found->second);
+  return found == m_named.end() ? std::nullopt
+                                : std::optional(found->second.back());
+}
+
+std::uint64_t UpstreamDirectory::Required(const std::string& model,
+                                          MonotonicTime now,
+                                          Duration limit) const {
+  std::uint64_t required = 0;
+  const auto found = m_named.find(model);
+  if (found == m_named.end()) {
+    return required;
+  }
+  for (const NamedWeights& named : found->second) {
+    if (now - named.named_at >= limit) {
+      required = named.version;
+    }
+  }
+  return required;
 }
 
 }  // namespace jasminehatch::forwarding
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "jasminehatch/codec.h"
@@ -180,7 +181,9 @@
   void Listen(asio::io_context& loop);
   TopicFollower::Callbacks ConfigurationCallbacks();
   TopicFollower::Callbacks RegistryCallbacks();
-  void OnOperatorRecords(std::span<const platform::StoreRecord> records);
+  /// @param just_written false when the records are those found at a start
+  void OnOperatorRecords(std::span<const platform::StoreRecord> records,
+                         bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
   void FollowStores();
   void LogDependency(std::string_view event,
@@ -258,8 +261,12 @@
 
 TopicFollower::Callbacks Forwarder::Impl::ConfigurationCallbacks() {
   TopicFollower::Callbacks callbacks;
-  callbacks.on_listed = [this](auto records) { OnOperatorRecords(records); };
-  callbacks.on_records = callbacks.on_listed;
+  callbacks.on_listed = [this](auto records) {
+    OnOperatorRecords(records, false);
+  };
+  callbacks.on_records = [this](auto records) {
+    OnOperatorRecords(records, true);
+  };
   callbacks.on_caught_up = [this](MonotonicTime sent_at) {
     m_host.Apply(forwarding::ConfigurationConfirmed{sent_at});
   };
@@ -303,14 +310,18 @@
 }
 
 void Forwarder::Impl::OnOperatorRecords(
-    std::span<const platform::StoreRecord> records) {
+    std::span<const platform::StoreRecord> records,
+    bool just_written) {
   for (const platform::StoreRecord& record : records) {
     if (record.removed) {
       continue;
     }
     try {
-      if (const auto event =
+      if (auto event =
               platform::DecodeOperatorRecord(record.key, record.value)) {
+        if (auto* named = std::get_if<forwarding::WeightsNamed>(&*event)) {
+          named->just_named = just_written;
+        }
         m_host.Apply(*event);
         LogDependency("operator_record_applied", record.key,
                       "offset " + std::to_string(record.offset));
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -45,6 +45,10 @@
 constexpr milliseconds kHoldTime{1200};
 constexpr milliseconds kRenewAfter{600};
 
+/// An order that shows no effect is repeated after this time: the runs of an
+/// engine end first, and each order has its price.
+constexpr milliseconds kOrderRetry{4000};
+
 /// An engine that has not finished by then is ordered again.
 constexpr milliseconds kLoadTimeout{5000};
 
@@ -82,7 +86,7 @@
   m_lease.options.renew_after = kRenewAfter;
   m_lease.options.read_age = kRenewAfter;
   m_lease.options.append_retry = milliseconds(400);
-  m_lease.options.order_retry = milliseconds(1500);
+  m_lease.options.order_retry = kOrderRetry;
   m_rollout.options.max_loads = kEnginesAtOnce;
   m_rollout.options.load_timeout = kLoadTimeout;
 }
@@ -92,7 +96,7 @@
   std::map<std::string, Target> targets;
   const forwarding::UpstreamDirectory& upstreams = m_host.State().upstreams;
   const MonotonicTime now = m_clock.Now();
-  for (const auto& [model, named] : upstreams.AllNamed()) {
+  for (const auto& [model, versions] : upstreams.AllNamed()) {
     for (const auto& [id, upstream] : upstreams.All()) {
       if (!upstreams.Usable(*upstream, now) ||
           !upstream->entry.weights.contains(model)) {
@@ -100,7 +104,8 @@
       }
       targets.emplace(id + "/" + model,
                       Target{id, upstream->entry.address, model,
-                             upstream->Weights(model), named.version});
+                             upstream->Weights(model),
+                             versions.back().version});
     }
   }
   return targets;
