--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -24,6 +24,7 @@
   std::string address;          ///< `ip:port` for callers.
   std::string ready_address;    ///< `ip:port` for the balancer's question.
   std::string metrics_address;  ///< `ip:port`; empty for none.
+  std::string peer_address;     ///< `ip:port` for UDP; empty for none.
   std::string store_address;    ///< `ip:port` of the platform's store.
 
   std::chrono::milliseconds stop_grace{8000};
--- /dev/null
+++ b/packages/codec/src/json/gossip_message.cc
@@ -0,0 +1,89 @@
+#include "jasminehatch/detail/json/gossip_message.h"
+
+#include <nlohmann/json.hpp>
+
+#include "jasminehatch/detail/base/exception.h"
+
+namespace jasminehatch::codec {
+namespace {
+
+using nlohmann::json;
+
+/// Changes when older daemons could misread a message.
+constexpr int kFormat = 1;
+
+forwarding::UpstreamShare DecodeShare(const json& entry) {
+  return {entry.at(0).get<std::uint32_t>(), entry.at(1).get<std::uint32_t>(),
+          entry.at(2).get<std::uint64_t>()};
+}
+
+WeightsNews DecodeNews(const json& entry) {
+  return {entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
+          entry.at(2).get<std::uint64_t>(), entry.at(3).get<bool>()};
+}
+
+}  // namespace
+
+std::string GossipMessage::Encode() const {
+  json encoded_shares = json::array();
+  for (const forwarding::UpstreamShare& share : shares) {
+    encoded_shares.push_back(
+        json::array({share.upstream, share.in_flight, share.tokens}));
+  }
+  json encoded_news = json::array();
+  for (const WeightsNews& entry : news) {
+    encoded_news.push_back(
+        json::array({entry.upstream, entry.model, entry.version,
+                     entry.loading}));
+  }
+  const json message =
+      json::array({kFormat, daemon, address, zone, incarnation, sequence,
+                   std::move(encoded_shares), std::move(encoded_news)});
+  std::string bytes;
+  json::to_msgpack(message, bytes);
+  return bytes;
+}
+
+GossipMessage GossipMessage::Decode(std::string_view bytes) {
+  try {
+    const json message = json::from_msgpack(bytes);
+    if (message.at(0).get<int>() != kFormat) {
+      throw CodecError(236, "a gossip message of an unknown format");
+    }
+    GossipMessage decoded;
+    decoded.daemon = message.at(1).get<std::string>();
+    decoded.address = message.at(2).get<std::string>();
+    decoded.zone = message.at(3).get<std::string>();
+    decoded.incarnation = message.at(4).get<std::uint64_t>();
+    decoded.sequence = message.at(5).get<std::uint64_t>();
+    for (const json& entry : message.at(6)) {
+      decoded.shares.push_back(DecodeShare(entry));
+    }
+    for (const json& entry : message.at(7)) {
+      decoded.news.push_back(DecodeNews(entry));
+    }
+    return decoded;
+  } catch (const json::exception& error) {
+    throw CodecError(236,
+                     std::string("not a gossip message: ") + error.what());
+  }
+}
+
+std::string DaemonAddress::Encode() const {
+  return json{{"address", address}, {"zone", zone}, {"incarnation", incarnation}}
+      .dump();
+}
+
+DaemonAddress DaemonAddress::Decode(std::string_view text) {
+  try {
+    const json document = json::parse(text);
+    return {document.at("address").get<std::string>(),
+            document.at("zone").get<std::string>(),
+            document.at("incarnation").get<std::uint64_t>()};
+  } catch (const json::exception& error) {
+    throw CodecError(237,
+                     std::string("not a daemon's address: ") + error.what());
+  }
+}
+
+}  // namespace jasminehatch::codec
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -39,6 +39,12 @@
                      s.metrics_address = r.Text();
                    },
                    false, "none", "ip:port where metrics are served"},
+    ForwarderField{"peer_address",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.peer_address = r.Text();
+                   },
+                   false, "none",
+                   "ip:port where other daemons tell their load, over UDP"},
     ForwarderField{"store_address",
                    [](const FieldReader& r, ForwarderSettings& s) {
                      s.store_address = r.Text();
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -4,13 +4,16 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/json/gossip_message.h"
 #include "jasminehatch/detail/lease/effect.h"
 #include "jasminehatch/detail/lease/event.h"
 #include "jasminehatch/detail/lease/state.h"
@@ -63,6 +66,11 @@
   /// each change of the registry or the named weights.
   void Update();
 
+  /// Sets the function that tells other daemons of changes.
+  void OnNews(std::function<void(const codec::WeightsNews&)> callback) {
+    m_on_news = std::move(callback);
+  }
+
   /// Orders nothing more.
   void Stop();
 
@@ -105,6 +113,7 @@
   void Execute(const rollout::ReportPaused& effect);
   void OnOrderAnswer(const std::string& key, platform::OrderAnswer answer);
   void ReportState(const Target& target);
+  void SetLoading(const std::string& key, bool loading);
   void Arm();
 
   const Clock& m_clock;
@@ -119,6 +128,7 @@
   std::map<std::string, Target> m_targets;  ///< By upstream and model.
   std::map<std::string, Report> m_reports;
   std::set<std::string> m_loading;  ///< Keys of accepted orders.
+  std::function<void(const codec::WeightsNews&)> m_on_news;
   std::uint64_t m_next_record = 0;
   MonotonicTime m_last_read{};
   MonotonicTime m_claim_from{};
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -6,7 +6,6 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
-#include <charconv>
 #include <chrono>
 #include <map>
 #include <string>
@@ -19,6 +18,7 @@
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/forwarder/cache_store_follower.h"
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/detail/forwarder/peer_gossip.h"
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/detail/forwarder/weights_rollout.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
@@ -63,24 +63,13 @@
 constexpr milliseconds kStopCheck{50};
 constexpr milliseconds kLogFlush{200};
 
-struct Endpoint {
-  std::string ip;
-  std::uint16_t port = 0;
-};
-
-Endpoint ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  Endpoint endpoint;
-  const char* end = text.data() + text.size();
-  if (colon != std::string::npos) {
-    endpoint.ip = text.substr(0, colon);
-    const auto parsed =
-        std::from_chars(text.data() + colon + 1, end, endpoint.port);
-    if (parsed.ec == std::errc() && parsed.ptr == end) {
-      return endpoint;
-    }
+net::IpPort RequireIpPort(const std::string& text) {
+  const auto parsed = net::ParseIpPort(text);
+  if (!parsed) {
+    throw SettingsError(104,
+                        "'" + text + "' is not an address; ip:port allowed");
   }
-  throw SettingsError(104, "'" + text + "' is not an address; ip:port allowed");
+  return *parsed;
 }
 
 forwarding::Options PolicyOf(const codec::ForwarderSettings& settings) {
@@ -150,6 +139,7 @@
     Listen(loop);
     m_configuration.Start();
     m_registry.Start();
+    StartGossip(incarnation);
     FlushLog();
   }
 
@@ -169,6 +159,9 @@
     m_stop_at = m_clock.Now();
     m_server->CloseAfterResponses();
     m_rollout.Stop();
+    if (m_gossip) {
+      m_gossip->Stop();
+    }
     CheckStop();
   }
 
@@ -186,6 +179,7 @@
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
   void FollowStores();
+  void StartGossip(std::uint64_t incarnation);
   void LogDependency(std::string_view event,
                      std::string_view dependency,
                      const std::string& detail);
@@ -205,6 +199,7 @@
   WeightsRollout m_rollout;
   TopicFollower m_configuration;
   TopicFollower m_registry;
+  std::unique_ptr<PeerGossip> m_gossip;
   std::map<std::string, CacheStoreFollower> m_cache_stores;  ///< By address.
   std::unique_ptr<net::StreamServer> m_server;
   std::unique_ptr<net::HttpServer> m_ready_server;
@@ -219,13 +214,13 @@
 };
 
 void Forwarder::Impl::Listen(asio::io_context& loop) {
-  const Endpoint front = ParseEndpoint(m_settings.address);
+  const net::IpPort front = RequireIpPort(m_settings.address);
   m_server = std::make_unique<net::StreamServer>(
       loop, front.ip, front.port,
       [this](std::shared_ptr<net::ServerExchange> exchange) {
         m_host.OnRequest(std::move(exchange));
       });
-  const Endpoint ready = ParseEndpoint(m_settings.ready_address);
+  const net::IpPort ready = RequireIpPort(m_settings.ready_address);
   net::HttpServer::Options options;
   options.address = ready.ip;
   options.port = ready.port;
@@ -239,7 +234,7 @@
   if (m_settings.metrics_address.empty()) {
     return;
   }
-  const Endpoint metrics = ParseEndpoint(m_settings.metrics_address);
+  const net::IpPort metrics = RequireIpPort(m_settings.metrics_address);
   options.address = metrics.ip;
   options.port = metrics.port;
   m_metrics_server = std::make_unique<net::HttpServer>(
@@ -341,6 +336,20 @@
   }
 }
 
+void Forwarder::Impl::StartGossip(std::uint64_t incarnation) {
+  if (m_settings.peer_address.empty()) {
+    return;
+  }
+  m_gossip = std::make_unique<PeerGossip>(
+      m_loop, m_clock, m_store, m_host, m_log,
+      PeerGossip::Options{m_settings.name, m_settings.zone,
+                          m_settings.peer_address, incarnation});
+  m_gossip->Start();
+  m_rollout.OnNews([this](const codec::WeightsNews& news) {
+    m_gossip->Announce(news);
+  });
+}
+
 void Forwarder::Impl::FollowStores() {
   const auto& stores = m_host.State().stores.All();
   std::erase_if(m_cache_stores, [&](const auto& entry) {
--- /dev/null
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -0,0 +1,284 @@
+#include "jasminehatch/detail/forwarder/peer_gossip.h"
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <utility>
+
+#include "jasminehatch/codec.h"
+#include "jasminehatch/detail/base/clock.h"
+#include "jasminehatch/detail/base/exception.h"
+#include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/net.h"
+#include "jasminehatch/platform.h"
+#include "jasminehatch/telemetry.h"
+
+namespace jasminehatch::daemon {
+namespace {
+
+using asio::ip::udp;
+using std::chrono::milliseconds;
+using telemetry::DecisionLog;
+using telemetry::DecisionLogField;
+
+constexpr milliseconds kSendInterval{100};
+
+/// Most daemons that one message goes to; in a larger fleet each one hears
+/// from a changing sample of the others.
+constexpr std::size_t kFanOut = 8;
+
+/// A daemon that was not heard for this long gets no messages.
+constexpr milliseconds kPeerAge{6000};
+
+/// News of weights are repeated for this long, since messages may be lost.
+constexpr milliseconds kNewsTime{1000};
+
+constexpr milliseconds kRegisterRetry{1000};
+
+}  // namespace
+
+PeerGossip::PeerGossip(asio::io_context& loop,
+                       const Clock& clock,
+                       platform::StoreClient& store,
+                       ForwardingHost& host,
+                       telemetry::DecisionLog& log,
+                       const Options& options)
+    : m_clock(clock),
+      m_store(store),
+      m_host(host),
+      m_log(log),
+      m_options(options),
+      m_socket(loop),
+      m_send_timer(loop),
+      m_register_timer(loop) {
+  const auto address = net::ParseIpPort(options.address);
+  if (!address) {
+    throw TransportError(
+        301, "'" + options.address + "' is not an address; ip:port allowed");
+  }
+  asio::error_code error;
+  const udp::endpoint endpoint(asio::ip::make_address(address->ip, error),
+                               address->port);
+  m_socket.open(endpoint.protocol(), error);
+  m_socket.bind(endpoint, error);
+  if (error) {
+    throw TransportError(301, "cannot bind UDP " + options.address + ": " +
+                                  error.message());
+  }
+  m_socket.non_blocking(true, error);
+}
+
+void PeerGossip::Start() {
+  Receive();
+  Arm();
+  Register();
+}
+
+void PeerGossip::Stop() {
+  m_stopped = true;
+  m_send_timer.cancel();
+  m_register_timer.cancel();
+  asio::error_code ignored;
+  m_socket.close(ignored);
+}
+
+void PeerGossip::Register() {
+  const codec::DaemonAddress own{m_options.address, m_options.zone,
+                                 m_options.incarnation};
+  m_store.AppendKeyed(
+      platform::kDaemonTopic, m_options.daemon, own.Encode(),
+      [this](const platform::StoreAppend& outcome) {
+        if (m_stopped) {
+          return;
+        }
+        using Status = platform::StoreAppend::Status;
+        if (outcome.status == Status::kAppended ||
+            outcome.status == Status::kUnknown) {
+          ReadPeers();
+          return;
+        }
+        m_register_timer.expires_after(kRegisterRetry);
+        m_register_timer.async_wait([this](const asio::error_code& error) {
+          if (!error) {
+            Register();
+          }
+        });
+      });
+}
+
+void PeerGossip::ReadPeers() {
+  m_store.ReadNewest(
+      platform::kDaemonTopic, [this](const platform::StorePage& page) {
+        if (m_stopped) {
+          return;
+        }
+        if (page.status != platform::StorePage::Status::kRead) {
+          m_register_timer.expires_after(kRegisterRetry);
+          m_register_timer.async_wait([this](const asio::error_code& error) {
+            if (!error) {
+              ReadPeers();
+            }
+          });
+          return;
+        }
+        for (const platform::StoreRecord& record : page.records) {
+          try {
+            const auto found = codec::DaemonAddress::Decode(record.value);
+            AddPeer(record.key, found.address, found.zone, found.incarnation);
+          } catch (const CodecError& error) {
+            const std::array fields{DecisionLogField{"daemon", record.key},
+                                    DecisionLogField{"detail", error.what()}};
+            m_log.Write(DecisionLog::Level::kState, "daemon_record_invalid",
+                        fields);
+          }
+        }
+      });
+}
+
+void PeerGossip::AddPeer(const std::string& name,
+                         const std::string& address,
+                         const std::string& zone,
+                         std::uint64_t incarnation) {
+  const auto parsed = net::ParseIpPort(address);
+  if (name == m_options.daemon || !parsed) {
+    return;
+  }
+  asio::error_code error;
+  const udp::endpoint endpoint(asio::ip::make_address(parsed->ip, error),
+                               parsed->port);
+  Peer& peer = m_peers[name];
+  if (error || incarnation < peer.incarnation) {
+    return;
+  }
+  if (incarnation > peer.incarnation) {
+    peer.sequence = 0;
+  }
+  peer.endpoint = endpoint;
+  peer.zone = zone;
+  peer.incarnation = incarnation;
+  peer.heard_at = m_clock.Now();
+}
+
+void PeerGossip::Receive() {
+  m_socket.async_receive_from(
+      asio::buffer(m_buffer), m_sender,
+      [this](const asio::error_code& error, std::size_t length) {
+        if (m_stopped) {
+          return;
+        }
+        // An error here reports an earlier datagram that could not be
+        // delivered.
+        if (!error) {
+          OnMessage(std::string_view(m_buffer.data(), length));
+        }
+        Receive();
+      });
+}
+
+void PeerGossip::OnMessage(std::string_view data) {
+  codec::GossipMessage message;
+  try {
+    message = codec::GossipMessage::Decode(data);
+  } catch (const CodecError& error) {
+    const std::array fields{DecisionLogField{"detail", error.what()}};
+    m_log.Write(DecisionLog::Level::kNotable, "gossip_invalid", fields);
+    return;
+  }
+  if (message.daemon == m_options.daemon) {
+    return;
+  }
+  AddPeer(message.daemon, message.address, message.zone, message.incarnation);
+  const auto found = m_peers.find(message.daemon);
+  if (found == m_peers.end() ||
+      found->second.incarnation != message.incarnation ||
+      message.sequence <= found->second.sequence) {
+    return;
+  }
+  found->second.sequence = message.sequence;
+  m_host.Apply(forwarding::PeerLoadReported{message.daemon,
+                                            std::move(message.shares)});
+  for (const codec::WeightsNews& news : message.news) {
+    if (!news.loading) {
+      m_host.Apply(forwarding::WeightsObserved{news.upstream, news.model,
+                                               news.version});
+    }
+    m_host.Apply(forwarding::UpstreamLoading{news.upstream, news.loading});
+  }
+}
+
+std::vector<const PeerGossip::Peer*> PeerGossip::ChoosePeers() {
+  const MonotonicTime now = m_clock.Now();
+  std::vector<const Peer*> near;
+  std::vector<const Peer*> far;
+  for (const auto& [name, peer] : m_peers) {
+    if (now - peer.heard_at <= kPeerAge) {
+      (peer.zone == m_options.zone ? near : far).push_back(&peer);
+    }
+  }
+  m_host.Apply(forwarding::PeersKnown{near.size() + far.size()});
+  if (near.size() + far.size() <= kFanOut) {
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+  }
+  // Bytes between zones are dear: in a large fleet one message goes far.
+  std::shuffle(near.begin(), near.end(), m_random);
+  std::shuffle(far.begin(), far.end(), m_random);
+  near.resize(std::min(near.size(), kFanOut - 1));
+  near.insert(near.end(), far.begin(),
+              far.begin() + static_cast<std::ptrdiff_t>(
+                                std::min<std::size_t>(far.size(), 1)));
+  return near;
+}
+
+void PeerGossip::Send() {
+  SendTo(ChoosePeers());
+}
+
+void PeerGossip::SendTo(const std::vector<const Peer*>& peers) {
+  if (peers.empty()) {
+    return;
+  }
+  const MonotonicTime now = m_clock.Now();
+  std::erase_if(m_news, [now](const auto& n) { return n.until <= now; });
+  codec::GossipMessage message;
+  message.daemon = m_options.daemon;
+  message.address = m_options.address;
+  message.zone = m_options.zone;
+  message.incarnation = m_options.incarnation;
+  message.sequence = ++m_sequence;
+  for (const auto& [id, upstream] : m_host.State().upstreams.All()) {
+    if (upstream->in_flight > 0) {
+      message.shares.push_back({forwarding::FleetLoad::NameOf(id),
+                                upstream->in_flight, upstream->tokens});
+    }
+  }
+  for (const PendingNews& pending : m_news) {
+    message.news.push_back(pending.news);
+  }
+  const std::string bytes = message.Encode();
+  for (const Peer* peer : peers) {
+    asio::error_code ignored;
+    m_socket.send_to(asio::buffer(bytes), peer->endpoint, 0, ignored);
+  }
+}
+
+void PeerGossip::Announce(const codec::WeightsNews& news) {
+  std::erase_if(m_news, [&](const PendingNews& pending) {
+    return pending.news.upstream == news.upstream &&
+           pending.news.model == news.model;
+  });
+  m_news.push_back({news, m_clock.Now() + kNewsTime});
+  Send();
+}
+
+void PeerGossip::Arm() {
+  m_send_timer.expires_after(kSendInterval);
+  m_send_timer.async_wait([this](const asio::error_code& error) {
+    if (!error && !m_stopped) {
+      Send();
+      Arm();
+    }
+  });
+}
+
+}  // namespace jasminehatch::daemon
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -159,11 +159,11 @@
 
 void WeightsRollout::Deactivate() {
   m_active = false;
-  m_targets.clear();
-  for (const std::string& key : std::exchange(m_loading, {})) {
-    m_host.Apply(
-        forwarding::UpstreamLoading{key.substr(0, key.find('/')), false});
+  const std::set<std::string> loading = m_loading;
+  for (const std::string& key : loading) {
+    SetLoading(key, false);
   }
+  m_targets.clear();
   m_reports.clear();
   m_rollout.reports.clear();
   StepRollout(rollout::TargetsConfigured{});
@@ -193,8 +193,8 @@
   const bool reached = target.current >= target.wanted;
   const auto known = m_rollout.reports.find(key);
   const std::string version = std::to_string(target.current);
-  if (reached && m_loading.erase(key) > 0) {
-    m_host.Apply(forwarding::UpstreamLoading{target.upstream, false});
+  if (reached && m_loading.contains(key)) {
+    SetLoading(key, false);
   }
   if (known == m_rollout.reports.end() ||
       known->second.loaded.version != version) {
@@ -202,6 +202,20 @@
   }
 }
 
+void WeightsRollout::SetLoading(const std::string& key, bool loading) {
+  const auto target = m_targets.find(key);
+  if (loading) {
+    m_loading.insert(key);
+  } else {
+    m_loading.erase(key);
+  }
+  const std::string upstream = key.substr(0, key.find('/'));
+  m_host.Apply(forwarding::UpstreamLoading{upstream, loading});
+  if (m_on_news && target != m_targets.end()) {
+    m_on_news({upstream, target->second.model, target->second.wanted, loading});
+  }
+}
+
 void WeightsRollout::Arm() {
   if (m_ticking || m_stopped) {
     return;
@@ -431,8 +445,7 @@
   m_log.Write(DecisionLog::Level::kState, "order_answered", fields);
   switch (answer) {
     case platform::OrderAnswer::kAccepted:
-      m_loading.insert(key);
-      m_host.Apply(forwarding::UpstreamLoading{target->second.upstream, true});
+      SetLoading(key, true);
       return;
     case platform::OrderAnswer::kAlreadyDone:
       m_host.Apply(forwarding::WeightsObserved{target->second.upstream,
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "jasminehatch/detail/http/ip_port.h"
 #include "message_parser.h"
 #include "message_text.h"
 
@@ -27,24 +28,6 @@
 /// reused; the rest covers requests that cross its close.
 constexpr double kIdleShare = 0.6;
 
-bool ParseAddress(const std::string& address, tcp::endpoint& endpoint) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  unsigned port = 0;
-  const char* end = address.data() + address.size();
-  const auto parsed =
-      std::from_chars(address.data() + colon + 1, end, port);
-  asio::error_code error;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-  if (error || parsed.ptr != end || port == 0 || port > 65535) {
-    return false;
-  }
-  endpoint = tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-  return true;
-}
-
 std::string RequestHead(const StreamCall& call) {
   std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
   for (const HttpHeader& header : call.headers) {
@@ -188,8 +171,8 @@
 }
 
 void StreamClient::Impl::Connect(CallId id, const CallPtr& call) {
-  tcp::endpoint endpoint;
-  if (!ParseAddress(call->request.address, endpoint)) {
+  const auto address = ParseIpPort(call->request.address);
+  if (!address || address->port == 0) {
     asio::post(m_loop, [self = shared_from_this(), id] {
       self->Finish(id, StreamEnd::Kind::kNotSent, "the address is not valid");
     });
@@ -206,6 +189,9 @@
           self->Finish(id, StreamEnd::Kind::kNotSent, "connecting timed out");
         }
       });
+  asio::error_code ignored;
+  const tcp::endpoint endpoint(asio::ip::make_address(address->ip, ignored),
+                               address->port);
   call->connection->socket.async_connect(
       endpoint, [self = shared_from_this(), id](const asio::error_code& error) {
         const CallPtr current = self->Find(id);
