Share proofs of a current configuration between daemons

A daemon now takes the proof of another one, dated by the echo of its own message, so that a delayed datagram never makes a proof look younger.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_JSON_GOSSIP_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,14 @@
   std::string zone;
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;  ///< Rises with each message of an incarnation.
+  /// Sender's time when it sent the message, in milliseconds on its own clock.
+  std::uint64_t sent_ms = 0;
+  /// `sent_ms` of the newest message that the sender got from the receiver.
+  std::uint64_t echo_ms = 0;
+  /// Where the sender's records of the operators end.
+  std::uint64_t operator_end = 0;
+  /// Age of its proof that no later record exists; nothing without one.
+  std::optional<std::uint64_t> proof_age_ms;
   std::vector<forwarding::UpstreamShare> shares;
   std::vector<WeightsNews> news;
 
--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -29,6 +29,7 @@
 
   std::chrono::milliseconds stop_grace{8000};
   std::chrono::milliseconds revoke_limit{5000};
+  std::chrono::milliseconds drain_limit{2000};
   std::chrono::milliseconds version_limit{6000};
   std::chrono::milliseconds lease_time{3000};
   bool upstreams_check_fences = true;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -38,7 +38,9 @@
   }
   const json message =
       json::array({kFormat, daemon, address, zone, incarnation, sequence,
-                   std::move(encoded_shares), std::move(encoded_news)});
+                   std::move(encoded_shares), std::move(encoded_news), sent_ms,
+                   echo_ms, operator_end,
+                   proof_age_ms ? json(*proof_age_ms) : json()});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -62,6 +64,12 @@
     for (const json& entry : message.at(7)) {
       decoded.news.push_back(DecodeNews(entry));
     }
+    decoded.sent_ms = message.at(8).get<std::uint64_t>();
+    decoded.echo_ms = message.at(9).get<std::uint64_t>();
+    decoded.operator_end = message.at(10).get<std::uint64_t>();
+    if (!message.at(11).is_null()) {
+      decoded.proof_age_ms = message.at(11).get<std::uint64_t>();
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236,
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -62,6 +62,12 @@
                    },
                    false, "5s",
                    "time after which a key that was taken away must not work"},
+    ForwarderField{"drain_limit",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.drain_limit = r.Time(milliseconds(500), minutes(10));
+                   },
+                   false, "2s",
+                   "time after which a leaving upstream gets no requests"},
     ForwarderField{"version_limit",
                    [](const FieldReader& r, ForwarderSettings& s) {
                      s.version_limit = r.Time(milliseconds(500), minutes(60));
--- a/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
@@ -3,8 +3,10 @@
 
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "jasminehatch/detail/base/time.h"
@@ -40,6 +42,9 @@
 
   void Start() { List(); }
 
+  /// Sets the number of daemons, since a store holds few waiting reads.
+  void SetDaemons(std::size_t daemons) { m_daemons = daemons; }
+
  private:
   void List();
   void Read();
@@ -61,6 +66,7 @@
   std::uint64_t m_clock_ms = 0;  ///< Shared clock at the last answer.
   MonotonicTime m_clock_at{};
   std::optional<MonotonicTime> m_unused_since;
+  std::size_t m_daemons = 1;
   bool m_reachable = true;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminehatch/detail/base/time.h"
@@ -51,6 +52,17 @@
     std::uint64_t incarnation = 0;
   };
 
+  /// @brief A proof that the operators wrote no record at or after `end`.
+  struct Proof {
+    std::uint64_t end = 0;
+    MonotonicTime at{};
+  };
+
+  /// Asked for this daemon's own proof with each message.
+  using OwnProof = std::function<std::optional<Proof>()>;
+  /// Receives the proofs of others, on this daemon's clock.
+  using PeerProof = std::function<void(const Proof& proof)>;
+
   /// @throw TransportError 301 when the address cannot be bound
   PeerGossip(asio::io_context& loop,
              const Clock& clock,
@@ -61,6 +73,14 @@
 
   void Start();
 
+  void ShareProofs(OwnProof own, PeerProof on_proof) {
+    m_own_proof = std::move(own);
+    m_on_proof = std::move(on_proof);
+  }
+
+  /// @return other daemons that were heard lately
+  std::size_t LivePeers() const;
+
   /// Tells a change of weights at once, and for a while with each message.
   void Announce(const codec::WeightsNews& news);
 
@@ -74,6 +94,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;  ///< Of its newest message.
     MonotonicTime heard_at{};
+    std::uint64_t sent_ms = 0;  ///< In its newest message, on its clock.
+    bool heard = false;         ///< Not only read from the store.
   };
 
   struct PendingNews {
@@ -104,6 +126,8 @@
   asio::steady_timer m_send_timer;
   asio::steady_timer m_register_timer;
   std::array<char, 65536> m_buffer{};
+  OwnProof m_own_proof;
+  PeerProof m_on_proof;
   std::map<std::string, Peer> m_peers;
   std::vector<PendingNews> m_news;
   std::uint64_t m_sequence = 0;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
@@ -61,10 +61,25 @@
 
   void Start() { List(); }
 
+  /// Sets how long the store may hold the next reads.
+  void SetWait(std::chrono::milliseconds wait) { m_options.wait = wait; }
+
+  /// Reads at once, beside a read that waits. For a follower that has learned
+  /// that a record exists, or needs a proof that none does.
+  void ReadNow();
+
+  /// @return where the records read so far end; nothing before the first read
+  std::optional<std::uint64_t> End() const { return m_end; }
+
  private:
   void List();
   void Read();
-  void OnPage(const platform::StorePage& page, MonotonicTime sent_at);
+  void ReadOn(std::chrono::milliseconds wait, bool chained);
+  /// @param chained whether the next read follows this one
+  void OnPage(const platform::StorePage& page,
+              MonotonicTime sent_at,
+              bool chained);
+  void Deliver(const platform::StorePage& page);
   void NoteSuccess();
   void NoteFailure(const std::string& detail);
   void After(std::chrono::milliseconds delay, void (TopicFollower::*next)());
@@ -75,8 +90,10 @@
   Callbacks m_callbacks;
   asio::steady_timer m_timer;
   std::uint64_t m_next = 0;
+  std::optional<std::uint64_t> m_end;
   std::optional<MonotonicTime> m_failing_since;
   bool m_reported_lost = false;
+  bool m_reading_now = false;
 };
 
 }  // namespace jasminehatch::daemon
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -22,6 +22,11 @@
 
 constexpr milliseconds kRetryDelay{300};
 
+/// A store holds about a dozen waiting reads; with more daemons none waits, and
+/// each reads at intervals shorter than a store needs to start again.
+constexpr std::size_t kWaitingDaemons = 10;
+constexpr milliseconds kCrowdedPause{700};
+
 /// Pause between two reads, in which changes collect.
 constexpr milliseconds kPause{60};
 
@@ -80,8 +85,9 @@
 }
 
 void CacheStoreFollower::Read() {
+  const bool crowded = m_daemons > kWaitingDaemons;
   m_engines.ReadCacheChanges(
-      m_address, m_next, kWait,
+      m_address, m_next, crowded ? milliseconds(0) : kWait,
       [this, alive = std::weak_ptr<int>(m_alive)](const auto& page) {
         if (!alive.expired()) {
           OnChanges(page);
@@ -93,7 +99,7 @@
     const std::optional<platform::CachePage>& page) {
   if (!page) {
     NoteLost();
-    After(kRetryDelay, &CacheStoreFollower::List);
+    After(kRetryDelay, &CacheStoreFollower::Read);
     return;
   }
   if (page->epoch != m_epoch || page->lost) {
@@ -107,7 +113,8 @@
   m_host.Apply(
       forwarding::CacheChanged{m_address, page->epoch, page->changes});
   FreeUnused();
-  After(kPause, &CacheStoreFollower::Read);
+  After(m_daemons > kWaitingDaemons ? kCrowdedPause : kPause,
+        &CacheStoreFollower::Read);
 }
 
 void CacheStoreFollower::NoteLost() {
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -8,6 +8,8 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <map>
+#include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <variant>
@@ -33,13 +35,21 @@
 using telemetry::DecisionLog;
 using telemetry::DecisionLogField;
 
-/// Longest wait of a read of the configuration; a third of the shortest limit
-/// of a proof that it is current.
-constexpr milliseconds kConfigurationWait{900};
+/// Longest wait of a read of the configuration. It answers at once when a
+/// record is written.
+constexpr milliseconds kConfigurationWait{8000};
+
+/// A proof that the configuration is current is renewed at this share of its
+/// limit, and up to the second share later: mostly another daemon has done so
+/// then and has told its proof.
+constexpr double kProofRenewShare = 0.3;
+constexpr double kProofSpreadShare = 0.2;
+constexpr milliseconds kProofCheck{100};
+constexpr milliseconds kProofRetry{300};
 
 /// Reads of the registry of upstreams; each upstream writes there about once a
 /// second, so that a read on each record would be many.
-constexpr milliseconds kRegistryPause{700};
+constexpr double kRegistryShare = 0.35;  ///< Of the drain limit.
 
 /// Failed reads of the registry after which its removals may only be entries
 /// that could not be renewed.
@@ -128,10 +138,12 @@
                    m_store,
                    clock,
                    {std::string(platform::kUpstreamTopic), milliseconds(0),
-                    kRegistryPause},
+                    std::chrono::duration_cast<milliseconds>(
+                        settings.drain_limit * kRegistryShare)},
                    RegistryCallbacks()),
         m_stop_timer(loop),
-        m_log_timer(loop) {
+        m_log_timer(loop),
+        m_proof_timer(loop) {
     const std::array fields{
         DecisionLogField{"name", settings.name},
         DecisionLogField{"zone", settings.zone}};
@@ -140,6 +152,7 @@
     m_configuration.Start();
     m_registry.Start();
     StartGossip(incarnation);
+    RenewProof();
     FlushLog();
   }
 
@@ -179,6 +192,7 @@
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
   void FollowStores();
+  void RenewProof();
   void StartGossip(std::uint64_t incarnation);
   void LogDependency(std::string_view event,
                      std::string_view dependency,
@@ -206,6 +220,10 @@
   std::unique_ptr<net::HttpServer> m_metrics_server;
   asio::steady_timer m_stop_timer;
   asio::steady_timer m_log_timer;
+  asio::steady_timer m_proof_timer;
+  std::mt19937_64 m_random{std::random_device{}()};
+  double m_proof_spread = 0;
+  MonotonicTime m_renewed_at{};
   std::function<void()> m_on_stopped;
   MonotonicTime m_stop_at{};
   bool m_stopping = false;
@@ -345,11 +363,48 @@
       PeerGossip::Options{m_settings.name, m_settings.zone,
                           m_settings.peer_address, incarnation});
   m_gossip->Start();
+  m_gossip->ShareProofs(
+      [this]() -> std::optional<PeerGossip::Proof> {
+        const auto end = m_configuration.End();
+        const auto& confirmed = m_host.State().confirmed_at;
+        if (!end || !confirmed) {
+          return std::nullopt;
+        }
+        return PeerGossip::Proof{*end, *confirmed};
+      },
+      [this](const PeerGossip::Proof& proof) {
+        const auto end = m_configuration.End();
+        if (end && proof.end == *end) {
+          m_host.Apply(forwarding::ConfigurationConfirmed{proof.at});
+        } else if (end && proof.end > *end) {
+          m_configuration.ReadNow();
+        }
+      });
   m_rollout.OnNews([this](const codec::WeightsNews& news) {
     m_gossip->Announce(news);
   });
 }
 
+void Forwarder::Impl::RenewProof() {
+  const forwarding::State& state = m_host.State();
+  const auto age = m_clock.Now() - state.confirmed_at.value_or(m_clock.Now());
+  const double share = kProofRenewShare + kProofSpreadShare * m_proof_spread;
+  if (age >= std::chrono::duration_cast<Duration>(state.options.proof_limit *
+                                                  share) &&
+      m_clock.Now() - m_renewed_at >= kProofRetry) {
+    m_renewed_at = m_clock.Now();
+    m_configuration.ReadNow();
+    m_proof_spread =
+        std::uniform_real_distribution<double>(0, 1)(m_random);
+  }
+  m_proof_timer.expires_after(kProofCheck);
+  m_proof_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      RenewProof();
+    }
+  });
+}
+
 void Forwarder::Impl::FollowStores() {
   const auto& stores = m_host.State().stores.All();
   std::erase_if(m_cache_stores, [&](const auto& entry) {
@@ -360,6 +415,8 @@
   for (const auto& [address, store] : stores) {
     const auto [follower, added] = m_cache_stores.try_emplace(
         address, m_loop, m_clock, m_engines, m_host, m_log, address, turn);
+    follower->second.SetDaemons(
+        1 + (m_gossip ? m_gossip->LivePeers() : 0));
     if (added) {
       follower->second.Start();
     }
@@ -383,6 +440,7 @@
     m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
   }
   m_rollout.Update();
+  FollowStores();
 }
 
 void Forwarder::Impl::CheckStop() {
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -30,6 +30,9 @@
 /// A daemon that was not heard for this long gets no messages.
 constexpr milliseconds kPeerAge{6000};
 
+/// A daemon that was heard within this time is thought to live.
+constexpr milliseconds kHeardAge{2000};
+
 /// News of weights are repeated for this long, since messages may be lost.
 constexpr milliseconds kNewsTime{1000};
 
@@ -152,6 +155,7 @@
   }
   if (incarnation > peer.incarnation) {
     peer.sequence = 0;
+    peer.sent_ms = 0;
   }
   peer.endpoint = endpoint;
   peer.zone = zone;
@@ -195,6 +199,16 @@
     return;
   }
   found->second.sequence = message.sequence;
+  found->second.sent_ms = message.sent_ms;
+  found->second.heard = true;
+  if (m_on_proof && message.proof_age_ms && message.echo_ms > 0) {
+    // The sender held the proof when it sent the message, which was after it
+    // got ours. So the proof is at least as young as the echo says, however
+    // long the message was on its way or waited here.
+    const auto at = MonotonicTime(milliseconds(message.echo_ms)) -
+                    milliseconds(*message.proof_age_ms);
+    m_on_proof({message.operator_end, at});
+  }
   m_host.Apply(forwarding::PeerLoadReported{message.daemon,
                                             std::move(message.shares)});
   for (const codec::WeightsNews& news : message.news) {
@@ -230,6 +244,14 @@
   return near;
 }
 
+std::size_t PeerGossip::LivePeers() const {
+  const MonotonicTime now = m_clock.Now();
+  return static_cast<std::size_t>(
+      std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
+        return entry.second.heard && now - entry.second.heard_at <= kHeardAge;
+      }));
+}
+
 void PeerGossip::Send() {
   SendTo(ChoosePeers());
 }
@@ -255,8 +277,16 @@
   for (const PendingNews& pending : m_news) {
     message.news.push_back(pending.news);
   }
-  const std::string bytes = message.Encode();
+  message.sent_ms = static_cast<std::uint64_t>(
+      std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
+  if (const auto proof = m_own_proof ? m_own_proof() : std::nullopt) {
+    message.operator_end = proof->end;
+    message.proof_age_ms = static_cast<std::uint64_t>(
+        std::chrono::ceil<milliseconds>(now - proof->at).count());
+  }
   for (const Peer* peer : peers) {
+    message.echo_ms = peer->sent_ms;
+    const std::string bytes = message.Encode();
     asio::error_code ignored;
     m_socket.send_to(asio::buffer(bytes), peer->endpoint, 0, ignored);
   }
--- a/packages/daemon/src/forwarder/topic_follower.cc
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -1,5 +1,6 @@
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <utility>
 
@@ -37,6 +38,7 @@
     }
     NoteSuccess();
     m_next = page.end;
+    m_end = m_next;
     m_callbacks.on_listed(page.records);
     m_callbacks.on_caught_up(sent_at);
     After(m_options.pause, &TopicFollower::Read);
@@ -44,40 +46,69 @@
 }
 
 void TopicFollower::Read() {
+  ReadOn(m_options.wait, true);
+}
+
+void TopicFollower::ReadNow() {
+  if (m_end && !std::exchange(m_reading_now, true)) {
+    ReadOn(std::chrono::milliseconds(0), false);
+  }
+}
+
+void TopicFollower::ReadOn(std::chrono::milliseconds wait, bool chained) {
   const MonotonicTime sent_at = m_clock.Now();
-  m_store.Read(m_options.topic, m_next, m_options.wait,
-               [this, sent_at](const platform::StorePage& page) {
-                 OnPage(page, sent_at);
+  m_store.Read(m_options.topic, m_next, wait,
+               [this, sent_at, chained](const platform::StorePage& page) {
+                 if (!chained) {
+                   m_reading_now = false;
+                 }
+                 OnPage(page, sent_at, chained);
                });
 }
 
 void TopicFollower::OnPage(const platform::StorePage& page,
-                           MonotonicTime sent_at) {
+                           MonotonicTime sent_at,
+                           bool chained) {
   switch (page.status) {
     case platform::StorePage::Status::kFailed:
       NoteFailure(page.detail);
-      After(kRetryDelay, &TopicFollower::Read);
+      if (chained) {
+        After(kRetryDelay, &TopicFollower::Read);
+      }
       return;
     case platform::StorePage::Status::kCompacted:
       NoteSuccess();
-      List();
+      if (chained) {
+        List();
+      }
       return;
     case platform::StorePage::Status::kRead:
       break;
   }
   NoteSuccess();
-  if (!page.records.empty()) {
-    m_next = page.records.back().offset + 1;
-    m_callbacks.on_records(page.records);
-  }
-  // A page that ends before the newest record is followed at once.
-  const bool caught_up = m_next == page.end;
-  if (caught_up) {
+  Deliver(page);
+  if (m_next == page.end) {
     m_callbacks.on_caught_up(sent_at);
   }
-  const bool more = m_next < page.end;
-  After(more ? std::chrono::milliseconds(0) : m_options.pause,
-        &TopicFollower::Read);
+  if (chained) {
+    // A page that ends before the newest record is followed at once.
+    const bool more = m_next < page.end;
+    After(more ? std::chrono::milliseconds(0) : m_options.pause,
+          &TopicFollower::Read);
+  }
+}
+
+void TopicFollower::Deliver(const platform::StorePage& page) {
+  // Two reads may show the same records.
+  const auto first = std::find_if(
+      page.records.begin(), page.records.end(),
+      [this](const platform::StoreRecord& r) { return r.offset >= m_next; });
+  if (first == page.records.end()) {
+    return;
+  }
+  m_next = page.records.back().offset + 1;
+  m_end = m_next;
+  m_callbacks.on_records({first, page.records.end()});
 }
 
 void TopicFollower::NoteSuccess() {
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -34,7 +34,7 @@
 
 /// A daemon that does not hold the lease reads its topic this often during a
 /// rollout.
-constexpr milliseconds kFollowInterval{700};
+constexpr milliseconds kFollowInterval{1500};
 
 /// Daemons claim a free lease one after another, this far apart, so that most
 /// of them see the first claim before their own.
