Test the forwarding concern, and do not refuse while another engine has memory

A new test failed first: the engine that a prompt's parts choose had no memory, and the request was refused although another engine was empty.

--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -98,7 +98,7 @@
                                   : LeastLoaded();
     placement.upstream = chosen.upstream;
     placement.load = chosen.load;
-    placement.overloaded = m_memory > 0 && chosen.memory > MemoryLimit();
+    placement.overloaded = HasNoMemory(chosen);
     return placement;
   }
 
@@ -175,6 +175,10 @@
            m_rule.required;
   }
 
+  bool HasNoMemory(const Candidate& candidate) const {
+    return m_memory > 0 && candidate.memory > MemoryLimit();
+  }
+
   const Candidate& LeastLoaded() const {
     const auto cost = [this](const Candidate& candidate) {
       const bool near = candidate.upstream->entry.zone == m_state.options.zone;
@@ -200,7 +204,7 @@
           mean_load * m_state.options.overload_factor +
           m_state.options.overload_margin /
               std::max<double>(candidate.upstream->entry.slots, 1);
-      if (candidate.load > limit) {
+      if (candidate.load > limit || HasNoMemory(candidate)) {
         continue;
       }
       const std::uint64_t rank =
--- /dev/null
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -0,0 +1,335 @@
+#include <jasminehatch/core.h>
+
+#include <chrono>
+#include <string>
+
+#include "forwarding_world.h"
+
+#include "jasminehatch/detail/testing/leak_detector_off.h"
+
+#include <CppUTest/TestHarness.h>
+
+using jasminehatch::AttemptId;
+using jasminehatch::MonotonicTime;
+using jasminehatch::RefusalCode;
+using jasminehatch::RequestId;
+using jasminehatch::Verdict;
+using namespace jasminehatch::forwarding;
+using namespace jasminehatch::forwarding::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+StartAttempt OnlyStart(const Effects& effects) {
+  const auto starts = EffectsOf<StartAttempt>(effects);
+  UNSIGNED_LONGS_EQUAL(1, starts.size());
+  return starts.front();
+}
+
+RefuseRequest OnlyRefusal(const Effects& effects) {
+  const auto refusals = EffectsOf<RefuseRequest>(effects);
+  UNSIGNED_LONGS_EQUAL(1, refusals.size());
+  return refusals.front();
+}
+
+bool Is(RefusalCode code, const RefuseRequest refusal) {
+  return refusal.code == code;
+}
+
+}  // namespace
+
+TEST_GROUP_BASE(ForwardingStep, jasminehatch::testing::LeakDetectorOff){};
+
+// Guards against a daemon that answers 404 before it has read a configuration.
+TEST(ForwardingStep, RefusesWithoutConfigurationAsNotRun) {
+  World world;
+  State state;
+  RequestReceived received;
+  received.request = RequestId{1};
+  received.path = "/once/";
+  const auto effects = Step(received, world.Now(), state);
+  const RefuseRequest refusal = OnlyRefusal(effects);
+  CHECK(Is(RefusalCode::kConfigurationStale, refusal));
+  CHECK(refusal.verdict == Verdict::kNotRun);
+  CHECK(refusal.retry_after.has_value());
+}
+
+// Guards against a revoked key that is let in while the store is out of reach.
+TEST(ForwardingStep, RefusesKeysWhenTheProofIsTooOld) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.Wait(world.Current().options.proof_limit + 1ms);
+  CHECK(Is(RefusalCode::kConfigurationStale, OnlyRefusal(world.Send("/once/"))));
+  OnlyStart(world.Send("/open/", ""));
+  world.Confirm();
+  OnlyStart(world.Send("/once/"));
+}
+
+// Guards against a proof that an older confirmation makes younger.
+TEST(ForwardingStep, KeepsTheNewestProof) {
+  World world;
+  const MonotonicTime before = *world.Current().confirmed_at;
+  world.Apply(ConfigurationConfirmed{before - 1s});
+  CHECK(*world.Current().confirmed_at == before);
+}
+
+// Guards against 404 and 401 answers from a configuration that may be old.
+TEST(ForwardingStep, RejectsOnlyByACurrentConfiguration) {
+  World world;
+  CHECK(Is(RefusalCode::kUnknownRoute, OnlyRefusal(world.Send("/none/"))));
+  CHECK(Is(RefusalCode::kUnauthorized,
+           OnlyRefusal(world.Send("/once/", "nobody"))));
+  world.Wait(10s);
+  CHECK(Is(RefusalCode::kConfigurationStale,
+           OnlyRefusal(world.Send("/none/"))));
+  CHECK(Is(RefusalCode::kConfigurationStale,
+           OnlyRefusal(world.Send("/once/", "nobody"))));
+}
+
+// Guards against a configuration that goes back to an older version.
+TEST(ForwardingStep, IgnoresOlderConfigurations) {
+  World world;
+  world.Apply(ConfigurationRead{world.MakeConfiguration(5)});
+  Configuration old = world.MakeConfiguration(4);
+  old.routes.clear();
+  world.Apply(ConfigurationRead{old});
+  UNSIGNED_LONGS_EQUAL(5, world.Current().table->Current().version);
+}
+
+// Guards against a second run of a request that may run once.
+TEST(ForwardingStep, SendsAOnceRequestAgainOnlyWhenItDidNotRun) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.AddUpstream("u2", "desk");
+  const std::string first = OnlyStart(world.Send("/once/")).upstream;
+  const StartAttempt second = OnlyStart(world.End(AttemptOutcome::kNotRun));
+  CHECK(second.upstream != first);
+  const RefuseRequest refusal =
+      OnlyRefusal(world.End(AttemptOutcome::kBroken));
+  CHECK(Is(RefusalCode::kUpstreamFailed, refusal));
+  CHECK(refusal.verdict == Verdict::kMayHaveRun);
+  CHECK_FALSE(refusal.retry_after.has_value());
+}
+
+// Guards against a 503, which promises "not run", after an attempt that broke.
+TEST(ForwardingStep, NeverPromisesNotRunAfterABreak) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.AddUpstream("u2", "desk");
+  world.Send("/again/");
+  OnlyStart(world.End(AttemptOutcome::kBroken));
+  const RefuseRequest refusal =
+      OnlyRefusal(world.End(AttemptOutcome::kNotRun));
+  CHECK(refusal.verdict == Verdict::kMayHaveRun);
+  CHECK(Describe(refusal.code).http_status == 502);
+}
+
+// Guards against more runs of a request than its route allows.
+TEST(ForwardingStep, KeepsTheAttemptsOfTheRoute) {
+  World world;
+  for (const char* id : {"u1", "u2", "u3", "u4"}) {
+    world.AddUpstream(id, "desk");
+  }
+  world.Send("/again/");
+  OnlyStart(world.End(AttemptOutcome::kFailedAnswer));
+  const auto effects = world.End(AttemptOutcome::kFailedAnswer);
+  CHECK(EffectsOf<StartAttempt>(effects).empty());
+  UNSIGNED_LONGS_EQUAL(1, EffectsOf<DeliverAnswer>(effects).size());
+}
+
+// Guards against a resumed stream that starts from its beginning.
+TEST(ForwardingStep, ResumesAStreamAfterTheLastEvent) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  world.AddUpstream("e2", "engine", 1);
+  world.Send("/resume/");
+  const StartAttempt again =
+      OnlyStart(world.End(AttemptOutcome::kBroken, "17"));
+  STRCMP_EQUAL("17", again.resume_after.c_str());
+}
+
+// Guards against a stream that is started again where that is not allowed.
+TEST(ForwardingStep, DoesNotResumeOtherStreams) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  world.AddUpstream("e2", "engine", 1);
+  world.Send("/prompt/");
+  const auto effects = world.End(AttemptOutcome::kBroken, "17");
+  CHECK(EffectsOf<StartAttempt>(effects).empty());
+  CHECK(OnlyRefusal(effects).verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against an idempotent request that waits for a silent upstream until
+// its deadline.
+TEST(ForwardingStep, GivesUpASilentUpstreamInTime) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.AddUpstream("u2", "desk");
+  const std::string first = OnlyStart(world.Send("/again/")).upstream;
+  world.Wait(1s);
+  const auto effects = world.Apply(TimerFired{});
+  UNSIGNED_LONGS_EQUAL(1, EffectsOf<CancelAttempt>(effects).size());
+  CHECK(OnlyStart(effects).upstream != first);
+}
+
+// Guards against an answer later than the caller or the route waits.
+TEST(ForwardingStep, EndsARequestAtItsDeadline) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.Send("/once/", "key-a", 700ms);
+  world.Wait(701ms);
+  const auto effects = world.Apply(TimerFired{});
+  CHECK(Is(RefusalCode::kDeadlineExceeded, OnlyRefusal(effects)));
+  UNSIGNED_LONGS_EQUAL(1, EffectsOf<CancelAttempt>(effects).size());
+  CHECK(world.Current().requests.empty());
+  CHECK(world.Current().timers.empty());
+}
+
+// Guards against an upstream that works on after its caller has left.
+TEST(ForwardingStep, CancelsTheAttemptOfACallerThatLeft) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.Send("/once/");
+  const auto effects = world.Apply(CallerLeft{world.Newest()});
+  UNSIGNED_LONGS_EQUAL(1, EffectsOf<CancelAttempt>(effects).size());
+  UNSIGNED_LONGS_EQUAL(0, world.Current().upstreams.Find("u1")->in_flight);
+}
+
+// Guards against an answer of an attempt that was given up.
+TEST(ForwardingStep, IgnoresEndsOfEarlierAttempts) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.Send("/once/");
+  const auto effects = world.Apply(AttemptEnded{
+      world.Newest(), AttemptId{999}, AttemptOutcome::kAnswered, "", ""});
+  CHECK(effects.empty());
+}
+
+// Guards against work for upstreams that are leaving.
+TEST(ForwardingStep, SendsNothingToLeavingUpstreams) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  UpstreamEntry leaving = world.Current().upstreams.Find("u1")->entry;
+  leaving.draining = true;
+  world.Apply(UpstreamRegistered{leaving});
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(world.Send("/once/"))));
+}
+
+// Guards against an outage of the registry that takes all upstreams away, and
+// against upstreams that are gone but stay in use after it.
+TEST(ForwardingStep, WaitsForLapsedEntriesAfterAnOutage) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.AddUpstream("u2", "desk");
+  world.Apply(RegistryRegained{});
+  world.Apply(UpstreamRemoved{"u1"});
+  world.Apply(UpstreamRemoved{"u2"});
+  OnlyStart(world.Send("/once/"));
+  world.AddUpstream("u2", "desk");
+  world.Wait(world.Current().options.lapse_grace);
+  STRCMP_EQUAL("u2", OnlyStart(world.Send("/once/")).upstream.c_str());
+  world.Apply(UpstreamRemoved{"u2"});
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(world.Send("/once/"))));
+}
+
+// Guards against cached parts that cross weights or dedicated workspaces.
+TEST(ForwardingStep, SaltsByWeightsAndDedicatedWorkspace) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  const std::string shared = OnlyStart(world.Send("/prompt/")).prompt->salt;
+  const std::string own =
+      OnlyStart(world.Send("/prompt/", "key-b")).prompt->salt;
+  CHECK(shared != own);
+  world.Apply(WeightsObserved{"e1", "m", 2});
+  const StartAttempt newer = OnlyStart(world.Send("/prompt/"));
+  CHECK(newer.prompt->salt != shared);
+  UNSIGNED_LONGS_EQUAL(2, newer.prompt->expected_version);
+}
+
+// Guards against requests on old weights after a second version was named
+// (fpeca-ops trouble-2, seed 131217745487).
+TEST(ForwardingStep, ANewerVersionDoesNotExtendTheLimitOfTheOneBefore) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  world.Apply(WeightsNamed{"m", 2});
+  world.Wait(world.Current().options.version_hard_limit);
+  world.Apply(WeightsNamed{"m", 3});
+  world.Confirm();
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(world.Send("/prompt/"))));
+  world.AddUpstream("e2", "engine", 2);
+  STRCMP_EQUAL("e2", OnlyStart(world.Send("/prompt/")).upstream.c_str());
+}
+
+// Guards against a daemon that starts in a rollout and takes the version for
+// just named.
+TEST(ForwardingStep, AVersionFoundAtAStartMayBeOld) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  world.Apply(WeightsNamed{"m", 2, false});
+  OnlyStart(world.Send("/prompt/"));
+  world.AddUpstream("e2", "engine", 2);
+  for (int i = 0; i < 5; ++i) {
+    STRCMP_EQUAL("e2", OnlyStart(world.Send("/prompt/")).upstream.c_str());
+  }
+}
+
+// Guards against an upstream that rejected its weights and is asked again with
+// the same ones.
+TEST(ForwardingStep, LearnsFromRejectedWeights) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  world.Apply(WeightsNamed{"m", 2});
+  world.Send("/prompt/");
+  world.End(AttemptOutcome::kWrongWeights);
+  UNSIGNED_LONGS_EQUAL(2, world.Current().upstreams.Find("e1")->Weights("m"));
+}
+
+// Guards against large prompts that fill the memory of all engines, so that
+// runs are preempted (fontaines-qc quiet-1, burst at 8 s).
+TEST(ForwardingStep, RefusesWhatNoEngineHasMemoryFor) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  std::size_t started = 0;
+  Effects effects = world.Send("/prompt/");
+  while (!EffectsOf<StartAttempt>(effects).empty() && started < 50) {
+    ++started;
+    effects = world.Send("/prompt/");
+  }
+  // 10,000 tokens of memory, about 1,030 a request, and no limit above 105%.
+  CHECK(started >= 8);
+  CHECK(started <= 11);
+  const RefuseRequest refusal = OnlyRefusal(effects);
+  CHECK(Is(RefusalCode::kOverloaded, refusal));
+  CHECK(refusal.verdict == Verdict::kNotRun);
+  CHECK(refusal.retry_after.has_value());
+}
+
+// Guards against daemons that do not count each other's requests.
+TEST(ForwardingStep, CountsTheMemoryThatOtherDaemonsUse) {
+  World world;
+  world.AddUpstream("e1", "engine", 1);
+  world.AddUpstream("e2", "engine", 1);
+  const std::string chosen = OnlyStart(world.Send("/prompt/")).upstream;
+  world.Apply(PeersKnown{1});
+  world.Apply(
+      PeerLoadReported{"peer", {{FleetLoad::NameOf(chosen), 7, 9'000}}});
+  CHECK(OnlyStart(world.Send("/prompt/")).upstream != chosen);
+  world.Wait(2s);
+  world.Confirm();
+  STRCMP_EQUAL(chosen.c_str(), OnlyStart(world.Send("/prompt/")).upstream.c_str());
+}
+
+// Guards against daemons that send prompts with the same parts to different
+// engines, where each would read them again.
+TEST(ForwardingStep, PromptsWithTheSamePartsMeet) {
+  World world;
+  World other;
+  for (const char* id : {"e1", "e2", "e3", "e4"}) {
+    world.AddUpstream(id, "engine", 1);
+  }
+  for (const char* id : {"e4", "e2", "e3", "e1"}) {
+    other.AddUpstream(id, "engine", 1);
+  }
+  STRCMP_EQUAL(OnlyStart(world.Send("/prompt/")).upstream.c_str(),
+               OnlyStart(other.Send("/prompt/")).upstream.c_str());
+}
--- /dev/null
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -0,0 +1,162 @@
+#include <jasminehatch/core.h>
+
+#include <chrono>
+#include <string>
+
+#include "forwarding_world.h"
+
+#include "jasminehatch/detail/testing/leak_detector_off.h"
+
+#include <CppUTest/TestHarness.h>
+
+using jasminehatch::MonotonicTime;
+using namespace jasminehatch::forwarding;
+using namespace std::chrono_literals;
+
+TEST_GROUP_BASE(ForwardingStructures, jasminehatch::testing::LeakDetectorOff) {
+  MonotonicTime now{1h};
+
+  static CacheStores MakeStores(std::uint64_t capacity) {
+    Service service;
+    service.name = "store";
+    service.store = CacheStoreSpec{"10.0.0.9:1", "a", capacity, true, 1ms};
+    CacheStores stores;
+    stores.Configure({&service, 1});
+    stores.Apply(CacheListed{"10.0.0.9:1", 7, {}});
+    return stores;
+  }
+};
+
+// Guards against a shorter prefix that wins over a longer one.
+TEST(ForwardingStructures, TheLongestPrefixWins) {
+  Configuration configuration;
+  for (const char* prefix : {"/", "/a/", "/a/b/"}) {
+    Route route;
+    route.name = prefix;
+    route.host = "Front.example";
+    route.path_prefix = prefix;
+    configuration.routes.push_back(route);
+  }
+  const RouteTable table(configuration);
+  const auto found = [&](const char* path) {
+    return table.FindRoute("front.example:8080", path)->name;
+  };
+  STRCMP_EQUAL("/a/b/", found("/a/b/c").c_str());
+  STRCMP_EQUAL("/a/", found("/a/bc").c_str());
+  STRCMP_EQUAL("/", found("/a").c_str());
+  POINTERS_EQUAL(nullptr, table.FindRoute("other.example", "/a/"));
+}
+
+// Guards against daemons that together make more retries than the fleet may.
+TEST(ForwardingStructures, DaemonsTogetherKeepTheRetryAllowance) {
+  Options options;
+  options.retry_ratio = 0.2;
+  options.retry_slack = 52;
+  constexpr int kDaemons = 9;
+  constexpr int kRequestsEach = 100;
+  int spent = 0;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    RetryAllowance allowance;
+    for (int i = 0; i < kRequestsEach; ++i) {
+      allowance.NoteRequest("s", now, options);
+      while (allowance.TrySpend("s", now, options)) {
+        ++spent;
+      }
+    }
+  }
+  CHECK(spent > 0);
+  CHECK(spent <= options.retry_ratio * kDaemons * kRequestsEach +
+                     options.retry_slack);
+}
+
+// Guards against an allowance that never comes back.
+TEST(ForwardingStructures, TheRetryAllowanceSlides) {
+  Options options;
+  RetryAllowance allowance;
+  while (allowance.TrySpend("s", now, options)) {
+  }
+  CHECK_FALSE(allowance.TrySpend("s", now + 1s, options));
+  CHECK(allowance.TrySpend("s", now + options.retry_window + 1ms, options));
+}
+
+// Guards against a fetch of a part that is not whole in the store.
+TEST(ForwardingStructures, OnlyWholePartsOfThePresentStartAreFetched) {
+  CacheStores stores = MakeStores(10'000);
+  stores.Apply(CacheChanged{"10.0.0.9:1", 7, {{true, {"s", "p", 500}}}});
+  CHECK_FALSE(stores.Find("s", "p", 500, "a").empty());
+  CHECK(stores.Find("s", "p", 501, "a").empty());
+  CHECK(stores.Find("other", "p", 500, "a").empty());
+  // Changes of an earlier start say nothing of this one.
+  stores.Apply(CacheListed{"10.0.0.9:1", 8, {}});
+  stores.Apply(CacheChanged{"10.0.0.9:1", 7, {{true, {"s", "p", 500}}}});
+  CHECK(stores.Find("s", "p", 500, "a").empty());
+}
+
+// Guards against fetches from a store that is out of reach.
+TEST(ForwardingStructures, ALostStoreIsNotUsed) {
+  CacheStores stores = MakeStores(10'000);
+  stores.Apply(CacheChanged{"10.0.0.9:1", 7, {{true, {"s", "p", 500}}}});
+  stores.Apply(CacheStoreLost{"10.0.0.9:1"});
+  CHECK(stores.Find("s", "p", 500, "a").empty());
+  CHECK(stores.Reserve("s", "q", 500, now).empty());
+}
+
+// Guards against saves without room, and against a second save of a part while
+// the first one runs.
+TEST(ForwardingStructures, SavesWhereThereIsRoomAndOnlyOnce) {
+  CacheStores stores = MakeStores(1'000);
+  CHECK_FALSE(stores.Reserve("s", "p", 500, now).empty());
+  CHECK(stores.Reserve("s", "p", 500, now + 1s).empty());
+  stores.Apply(CacheChanged{"10.0.0.9:1", 7, {{true, {"s", "p", 500}}}});
+  CHECK(stores.Reserve("s", "q", 600, now).empty());
+  stores.Apply(CacheChanged{"10.0.0.9:1", 7, {{false, {"s", "p", 500}}}});
+  CHECK_FALSE(stores.Reserve("s", "q", 600, now).empty());
+}
+
+// Guards against a free of parts that engines may still fetch.
+TEST(ForwardingStructures, OnlyPartsOfReplacedWeightsAreUnused) {
+  CacheStores stores = MakeStores(10'000);
+  stores.Apply(CacheChanged{"10.0.0.9:1",
+                            7,
+                            {{true, {"m/1/", "p", 100}},
+                             {true, {"m/1/w", "p", 100}},
+                             {true, {"m/12/", "p", 100}}}});
+  const auto& store = stores.All().begin()->second;
+  UNSIGNED_LONGS_EQUAL(1, stores.Unused(store, {"m/1/"}, 10).size());
+  UNSIGNED_LONGS_EQUAL(2, stores.Unused(store, {"m/12/"}, 10).size());
+}
+
+// Guards against a fleet in which what was not heard counts as idle.
+TEST(ForwardingStructures, LoadOfUnheardDaemonsIsEstimated) {
+  FleetLoad fleet;
+  fleet.SetPeers(10);
+  for (const char* peer : {"p1", "p2"}) {
+    fleet.Apply(PeerLoadReported{peer, {{5, 2, 1'000}}}, now);
+  }
+  UNSIGNED_LONGS_EQUAL(20, fleet.Of(5, now).in_flight);
+  UNSIGNED_LONGS_EQUAL(10'000, fleet.Of(5, now).tokens);
+  CHECK_FALSE(fleet.Heard(now + 5s));
+  UNSIGNED_LONGS_EQUAL(0, fleet.Of(5, now + 5s).in_flight);
+}
+
+// Guards against a new start of an upstream that keeps what the start before it
+// was known for.
+TEST(ForwardingStructures, ANewStartKnowsNothingOfBefore) {
+  UpstreamDirectory directory;
+  UpstreamEntry entry;
+  entry.id = "u";
+  entry.service = "s";
+  entry.started_at = 1;
+  entry.weights["m"] = 3;
+  directory.Register(entry);
+  Options options;
+  directory.Find("u")->NoteFailure(true, now, options);
+  entry.weights["m"] = 2;
+  directory.Register(entry);
+  UNSIGNED_LONGS_EQUAL(3, directory.Find("u")->Weights("m"));
+  entry.started_at = 2;
+  directory.Register(entry);
+  UNSIGNED_LONGS_EQUAL(2, directory.Find("u")->Weights("m"));
+  CHECK_FALSE(directory.Find("u")->suspended_until.has_value());
+  UNSIGNED_LONGS_EQUAL(1, directory.Of("s").size());
+}
--- /dev/null
+++ b/packages/core/tests/forwarding_world.cc
@@ -0,0 +1,111 @@
+#include "forwarding_world.h"
+
+#include <utility>
+
+namespace jasminehatch::forwarding::test {
+namespace {
+
+Route MakeRoute(const std::string& prefix, Repeat repeat, bool prompt) {
+  Route route;
+  route.name = prefix;
+  route.host = "front.example";
+  route.path_prefix = prefix;
+  route.repeat = repeat;
+  route.timeout = std::chrono::seconds(5);
+  route.first_answer_goal = std::chrono::milliseconds(300);
+  route.priority = 1;
+  route.carries_prompt = prompt;
+  route.services = {{prompt ? "engine" : "desk", 1}};
+  return route;
+}
+
+}  // namespace
+
+World::World() {
+  m_state.options.zone = "a";
+  m_state.options.retry_slack = 80;
+  Apply(ConfigurationRead{MakeConfiguration(1)});
+  Confirm();
+}
+
+Configuration World::MakeConfiguration(std::uint64_t version) const {
+  Configuration configuration;
+  configuration.version = version;
+  configuration.has_workspaces = true;
+  configuration.routes.push_back(MakeRoute("/once/", Repeat::kOnce, false));
+  configuration.routes.push_back(
+      MakeRoute("/again/", Repeat::kIdempotent, false));
+  configuration.routes.back().attempts = 2;
+  configuration.routes.push_back(MakeRoute("/prompt/", Repeat::kStream, true));
+  configuration.routes.push_back(MakeRoute("/resume/", Repeat::kStream, true));
+  configuration.routes.back().resumable = true;
+  configuration.routes.back().attempts = 2;
+  configuration.routes.push_back(MakeRoute("/open/", Repeat::kOnce, false));
+  configuration.routes.back().is_public = true;
+  Service engine;
+  engine.name = "engine";
+  engine.engine = EngineSpec{8, 10'000, 1000, {"m"}};
+  Service desk;
+  desk.name = "desk";
+  configuration.services = {engine, desk};
+  configuration.workspaces = {{"workspace-a", {"key-a"}, false, {}},
+                              {"workspace-b", {"key-b"}, true, 0}};
+  return configuration;
+}
+
+Prompt World::MakePrompt(std::uint32_t own_tokens) const {
+  Prompt prompt;
+  prompt.model = "m";
+  prompt.parts = {{"common", 100}, {"document", 800}, {"own", own_tokens}};
+  prompt.prompt_tokens = 900 + own_tokens;
+  prompt.max_output_tokens = 90;
+  return prompt;
+}
+
+Effects World::Send(const std::string& path,
+                    const std::string& key,
+                    Duration time_left) {
+  RequestReceived received;
+  received.request = RequestId{m_next_request++};
+  received.caller_id = "request-" + std::to_string(received.request.value);
+  received.host = "front.example";
+  received.path = path;
+  received.key = key;
+  received.time_left = time_left;
+  if (path.starts_with("/prompt/") || path.starts_with("/resume/")) {
+    received.prompt = MakePrompt();
+  }
+  auto effects = Apply(received);
+  Remember(effects);
+  return effects;
+}
+
+Effects World::End(AttemptOutcome outcome, const std::string& last_event) {
+  auto effects =
+      Apply(AttemptEnded{Newest(), m_attempt, outcome, last_event, "test"});
+  Remember(effects);
+  return effects;
+}
+
+void World::Remember(const Effects& effects) {
+  for (const StartAttempt& start : EffectsOf<StartAttempt>(effects)) {
+    m_attempt = start.attempt;
+  }
+}
+
+void World::AddUpstream(const std::string& id,
+                        const std::string& service,
+                        std::uint64_t weights) {
+  UpstreamEntry entry;
+  entry.id = id;
+  entry.service = service;
+  entry.address = "10.0.0.1:80";
+  entry.zone = "a";
+  entry.slots = 8;
+  if (weights > 0) {
+    entry.weights["m"] = weights;
+  }
+  Apply(UpstreamRegistered{entry});
+}
+
+}  // namespace jasminehatch::forwarding::test
