Test the exact HTTP transport, and keep a connection until its write has ended

A new test failed first (crash): an upstream answers before it has read a long body, the call ends, and the pending write used the socket of the destroyed connection.

--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -102,7 +102,7 @@
 
   ConnectionPtr TakeIdle(const std::string& address);
   void Connect(CallId id, const CallPtr& call);
-  void SendRequest(CallId id, const CallPtr& call);
+  void SendRequest(const CallPtr& call);
   void Read(const ConnectionPtr& connection);
   void OnRead(const ConnectionPtr& connection,
               const asio::error_code& error,
@@ -143,7 +143,7 @@
   if (auto idle = TakeIdle(call->request.address)) {
     call->connection = std::move(idle);
     call->connection->call = id;
-    SendRequest(id, call);
+    SendRequest(call);
   } else {
     Connect(id, call);
   }
@@ -203,11 +203,11 @@
           return;
         }
         current->connect_timer.cancel();
-        self->SendRequest(id, current);
+        self->SendRequest(current);
       });
 }
 
-void StreamClient::Impl::SendRequest(CallId id, const CallPtr& call) {
+void StreamClient::Impl::SendRequest(const CallPtr& call) {
   Connection& connection = *call->connection;
   connection.parser.Reset();
   if (call->request.method == "HEAD") {
@@ -224,7 +224,8 @@
       asio::buffer(call->head), asio::buffer(call->request.body)};
   asio::async_write(
       connection.socket, buffers,
-      [self = shared_from_this(), id, call](const asio::error_code& error,
+      // The write refers to the socket, also after the call has ended.
+      [call, connection = call->connection](const asio::error_code& error,
                                             std::size_t /*length*/) {
         // A failed write is left to the reader: a response may still arrive.
         call->sent = !error;
--- /dev/null
+++ b/packages/net/tests/stream_test.cc
@@ -0,0 +1,406 @@
+#include <jasminehatch/net.h>
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jasminehatch/detail/testing/leak_detector_off.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace jasminehatch::net;
+using asio::ip::tcp;
+
+namespace {
+
+/// Long enough for a busy machine; tests end as soon as their condition holds.
+constexpr std::chrono::seconds kLimit{20};
+
+/// Runs the loop until the condition holds.
+template <typename Condition>
+bool RunUntil(asio::io_context& loop, Condition condition) {
+  const auto end = std::chrono::steady_clock::now() + kLimit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+/// @brief An upstream that answers each connection with given bytes once it
+/// has received the wanted number of bytes.
+class RawUpstream {
+ public:
+  enum class After { kKeep, kClose, kReset };
+
+  RawUpstream(asio::io_context& loop, std::string answer, After after)
+      : m_acceptor(loop, tcp::endpoint(tcp::v4(), 0)),
+        m_answer(std::move(answer)),
+        m_after(after) {
+    Accept();
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  }
+
+  /// Bytes of the request after which it answers; 0 for the end of the head.
+  void AnswerAfter(std::size_t bytes) { m_answer_after = bytes; }
+
+  std::size_t Connections() const { return m_sockets.size(); }
+  std::size_t Requests() const { return m_requests; }
+
+ private:
+  void Accept() {
+    m_acceptor.async_accept([this](const asio::error_code& error,
+                                   tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      m_sockets.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+      Read(m_sockets.back(), std::make_shared<std::string>());
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<tcp::socket>& socket,
+            const std::shared_ptr<std::string>& got) {
+    auto buffer = std::make_shared<std::vector<char>>(65536);
+    socket->async_read_some(
+        asio::buffer(*buffer),
+        [this, socket, got, buffer](const asio::error_code& error,
+                                    std::size_t length) {
+          if (error) {
+            return;
+          }
+          got->append(buffer->data(), length);
+          const bool whole = m_answer_after > 0
+                                 ? got->size() >= m_answer_after
+                                 : got->find("\r\n\r\n") != std::string::npos;
+          if (whole) {
+            got->clear();
+            Answer(*socket);
+          }
+          if (socket->is_open()) {
+            Read(socket, got);
+          }
+        });
+  }
+
+  void Answer(tcp::socket& socket) {
+    ++m_requests;
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(m_answer), ignored);
+    if (m_after == After::kReset) {
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    if (m_after != After::kKeep) {
+      socket.close(ignored);
+    }
+  }
+
+  tcp::acceptor m_acceptor;
+  std::string m_answer;
+  After m_after;
+  std::size_t m_answer_after = 0;
+  std::size_t m_requests = 0;
+  std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+};
+
+/// @brief What a call of StreamClient led to.
+struct Outcome {
+  bool ended = false;
+  StreamHead head;
+  std::string body;
+  StreamEnd end;
+};
+
+std::shared_ptr<Outcome> Call(StreamClient& client,
+                              const std::string& address,
+                              const std::string& body = "") {
+  auto outcome = std::make_shared<Outcome>();
+  StreamCall call;
+  call.address = address;
+  call.method = body.empty() ? "GET" : "POST";
+  call.target = "/x";
+  call.headers = {{"Host", "h"}};
+  call.body = body;
+  StreamClient::Callbacks callbacks;
+  callbacks.on_head = [outcome](StreamHead head) {
+    outcome->head = std::move(head);
+  };
+  callbacks.on_data = [outcome](std::string_view data) {
+    outcome->body += data;
+  };
+  callbacks.on_end = [outcome](const StreamEnd& end) {
+    outcome->end = end;
+    outcome->ended = true;
+  };
+  client.Start(std::move(call), std::move(callbacks));
+  return outcome;
+}
+
+Outcome CallOnce(const std::string& answer, RawUpstream::After after) {
+  asio::io_context loop;
+  RawUpstream upstream(loop, answer, after);
+  StreamClient client(loop, {});
+  const auto outcome = Call(client, upstream.Address());
+  CHECK(RunUntil(loop, [&] { return outcome->ended; }));
+  return *outcome;
+}
+
+/// Sends bytes to a server and returns all that it sent until it closed, or
+/// until the answer contains `until`.
+std::string Exchange(const std::string& request,
+                     const StreamServer::Handler& handler,
+                     const std::string& until = "") {
+  asio::io_context loop;
+  StreamServer server(loop, "127.0.0.1", 0, handler);
+  tcp::socket socket(loop);
+  socket.connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(), server.Port()));
+  asio::async_write(socket, asio::buffer(request),
+                    [](const asio::error_code&, std::size_t) {});
+  std::string answer;
+  bool closed = false;
+  std::vector<char> buffer(4096);
+  std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(buffer),
+                           [&](const asio::error_code& error, std::size_t n) {
+                             if (error) {
+                               closed = true;
+                               return;
+                             }
+                             answer.append(buffer.data(), n);
+                             read();
+                           });
+  };
+  read();
+  CHECK(RunUntil(loop, [&] {
+    return closed || (!until.empty() && answer.find(until) != answer.npos);
+  }));
+  return answer;
+}
+
+const StreamServer::Handler kEcho =
+    [](const std::shared_ptr<ServerExchange>& exchange) {
+      const HttpRequest& request = exchange->Request();
+      exchange->Send(200, {{"Connection-Test", "1"}},
+                     request.method + " " + request.path + " " + request.body);
+    };
+
+}  // namespace
+
+TEST_GROUP_BASE(Stream, jasminehatch::testing::LeakDetectorOff){};
+
+// Guards against an answer that ended early and is taken for whole.
+TEST(Stream, AnAnswerThatIsCutIsBroken) {
+  using After = RawUpstream::After;
+  const auto with_length = CallOnce(
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", After::kClose);
+  CHECK(with_length.end.kind == StreamEnd::Kind::kBroken);
+  const auto chunked = CallOnce(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      After::kClose);
+  CHECK(chunked.end.kind == StreamEnd::Kind::kBroken);
+  const auto head = CallOnce("HTTP/1.1 200 OK\r\nContent-", After::kClose);
+  CHECK(head.end.kind == StreamEnd::Kind::kBroken);
+  CHECK_FALSE(head.end.head_received);
+}
+
+// Guards against an answer without a length whose connection was reset and that
+// is taken for whole, and against the refusal of one that ended well.
+TEST(Stream, OnlyTheEndOfTheConnectionEndsAnUnframedAnswer) {
+  const std::string answer = "HTTP/1.1 200 OK\r\n\r\nabc";
+  const auto closed = CallOnce(answer, RawUpstream::After::kClose);
+  CHECK(closed.end.kind == StreamEnd::Kind::kComplete);
+  STRCMP_EQUAL("abc", closed.body.c_str());
+  const auto reset = CallOnce(answer, RawUpstream::After::kReset);
+  CHECK(reset.end.kind == StreamEnd::Kind::kBroken);
+}
+
+// Guards against bytes that are no answer.
+TEST(Stream, OtherBytesAreMalformed) {
+  const auto outcome =
+      CallOnce("no protocol at all\r\n\r\n", RawUpstream::After::kKeep);
+  CHECK(outcome.end.kind == StreamEnd::Kind::kMalformed);
+}
+
+// Guards against a second answer on a connection that is taken for the answer
+// to the next request.
+TEST(Stream, ExtraBytesEndTheConnection) {
+  asio::io_context loop;
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  RawUpstream upstream(loop, answer + answer, RawUpstream::After::kKeep);
+  StreamClient client(loop, {});
+  for (int i = 0; i < 3; ++i) {
+    const auto outcome = Call(client, upstream.Address());
+    CHECK(RunUntil(loop, [&] { return outcome->ended; }));
+    CHECK(outcome->end.kind == StreamEnd::Kind::kComplete);
+    STRCMP_EQUAL("a", outcome->body.c_str());
+  }
+  UNSIGNED_LONGS_EQUAL(3, upstream.Connections());
+}
+
+// Guards against a new connection for each request.
+TEST(Stream, ReusesAConnectionWithoutExtraBytes) {
+  asio::io_context loop;
+  RawUpstream upstream(loop,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+                       RawUpstream::After::kKeep);
+  StreamClient client(loop, {});
+  for (int i = 0; i < 3; ++i) {
+    const auto outcome = Call(client, upstream.Address());
+    CHECK(RunUntil(loop, [&] { return outcome->ended; }));
+  }
+  UNSIGNED_LONGS_EQUAL(1, upstream.Connections());
+}
+
+// Guards against a request that is sent again by itself when a reused
+// connection breaks: it may have run.
+TEST(Stream, NeverSendsARequestTwice) {
+  asio::io_context loop;
+  RawUpstream upstream(loop, "", RawUpstream::After::kReset);
+  StreamClient client(loop, {});
+  const auto outcome = Call(client, upstream.Address(), "booking");
+  CHECK(RunUntil(loop, [&] { return outcome->ended; }));
+  CHECK(outcome->end.kind == StreamEnd::Kind::kBroken);
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(100));
+  UNSIGNED_LONGS_EQUAL(1, upstream.Requests());
+}
+
+// Guards against the next request in the place of the rest of a long body.
+TEST(Stream, AnEarlyAnswerEndsTheConnection) {
+  asio::io_context loop;
+  RawUpstream upstream(loop,
+                       "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n",
+                       RawUpstream::After::kKeep);
+  upstream.AnswerAfter(1);
+  StreamClient client(loop, {});
+  const std::string body(32UL << 20U, 'b');
+  const auto first = Call(client, upstream.Address(), body);
+  CHECK(RunUntil(loop, [&] { return first->ended; }));
+  LONGS_EQUAL(413, first->head.status);
+  const auto second = Call(client, upstream.Address());
+  CHECK(RunUntil(loop, [&] { return second->ended; }));
+  UNSIGNED_LONGS_EQUAL(2, upstream.Connections());
+}
+
+// Guards against a connection that could not be opened and counts as possibly
+// run.
+TEST(Stream, ARefusedConnectionIsNotSent) {
+  asio::io_context loop;
+  std::string address;
+  {
+    RawUpstream gone(loop, "", RawUpstream::After::kClose);
+    address = gone.Address();
+  }
+  StreamClient client(loop, {});
+  const auto outcome = Call(client, address);
+  const auto invalid = Call(client, "nowhere");
+  CHECK(RunUntil(loop, [&] { return outcome->ended && invalid->ended; }));
+  CHECK(outcome->end.kind == StreamEnd::Kind::kNotSent);
+  CHECK(invalid->end.kind == StreamEnd::Kind::kNotSent);
+}
+
+// Guards against a request hidden in another one, by each known trick of
+// framing.
+TEST(Stream, RejectsAmbiguousFraming) {
+  const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::size_t handled = 0;
+  const StreamServer::Handler count =
+      [&](const std::shared_ptr<ServerExchange>& exchange) {
+        ++handled;
+        exchange->Send(200, {}, "");
+      };
+  for (const std::string& framing : {
+           std::string("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+           std::string("Content-Length: 5\r\nContent-Length: 6\r\n"),
+           std::string("Transfer-Encoding: xchunked\r\n"),
+           std::string("Content-Length : 5\r\n"),
+           std::string("Content-Length: +5\r\n"),
+           std::string("Host: other\r\n"),
+           std::string("X-A: b\x01\r\n"),
+       }) {
+    const std::string answer = Exchange(
+        start + framing + "\r\n0\r\n\r\n" + hidden, count);
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 400"), framing.c_str());
+    CHECK_TRUE_TEXT(answer.find("Connection: close") != answer.npos,
+                    framing.c_str());
+  }
+  UNSIGNED_LONGS_EQUAL(0, handled);
+}
+
+// Guards against limits that are not kept, and a wrong status for them.
+TEST(Stream, KeepsTheLimitsOfHeadAndBody) {
+  const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string long_head =
+      Exchange(start + "X-Long: " + std::string(40'000, 'a') + "\r\n\r\n",
+               kEcho);
+  CHECK(long_head.starts_with("HTTP/1.1 431"));
+  const std::size_t size = (4UL << 20U) + 1;
+  const std::string long_body = Exchange(
+      start + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+          std::string(size, 'b'),
+      kEcho);
+  CHECK(long_body.starts_with("HTTP/1.1 413"));
+}
+
+// Guards against a chunked body that is not put together.
+TEST(Stream, TakesChunkedBodiesAndPipelinedRequests) {
+  const std::string answer = Exchange(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+      "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      kEcho);
+  CHECK(answer.find("POST /a abc") != answer.npos);
+  CHECK(answer.find("GET /b ") != answer.npos);
+}
+
+// Guards against a stream that was broken off and looks complete.
+TEST(Stream, AnAbortedStreamHasNoEnd) {
+  const std::string answer = Exchange(
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+      [](const std::shared_ptr<ServerExchange>& exchange) {
+        exchange->BeginStream(200, {});
+        exchange->Write("data: 1\n\n");
+        exchange->Abort();
+      });
+  CHECK(answer.find("0\r\n\r\n") == answer.npos);
+}
+
+// Guards against a caller's close that is noticed only when its answer is
+// written.
+TEST(Stream, NoticesThatTheCallerLeft) {
+  asio::io_context loop;
+  std::shared_ptr<ServerExchange> held;
+  bool left = false;
+  StreamServer server(loop, "127.0.0.1", 0,
+                      [&](std::shared_ptr<ServerExchange> exchange) {
+                        held = std::move(exchange);
+                        held->OnCallerLeft([&] { left = true; });
+                      });
+  tcp::socket socket(loop);
+  socket.connect(
+      tcp::endpoint(asio::ip::address_v4::loopback(), server.Port()));
+  asio::write(socket,
+              asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  CHECK(RunUntil(loop, [&] { return held != nullptr; }));
+  CHECK_FALSE(left);
+  socket.close();
+  CHECK(RunUntil(loop, [&] { return left; }));
+  held->Send(200, {}, "late");
+}
