Test a forwarding daemon against a stand-in of the platform

The stand-in plays the store (waiting reads, newest records, conditional appends, compaction, outages) and upstreams that hang, break, reject, answer falsely or leave. The log's descriptor is passed in, so that a test's output does not become non-blocking.

--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -32,15 +32,13 @@
   }
   json encoded_news = json::array();
   for (const WeightsNews& entry : news) {
-    encoded_news.push_back(
-        json::array({entry.upstream, entry.model, entry.version,
-                     entry.loading}));
+    encoded_news.push_back(json::array(
+        {entry.upstream, entry.model, entry.version, entry.loading}));
   }
-  const json message =
-      json::array({kFormat, daemon, address, zone, incarnation, sequence,
-                   std::move(encoded_shares), std::move(encoded_news), sent_ms,
-                   echo_ms, operator_end,
-                   proof_age_ms ? json(*proof_age_ms) : json()});
+  const json message = json::array(
+      {kFormat, daemon, address, zone, incarnation, sequence,
+       std::move(encoded_shares), std::move(encoded_news), sent_ms, echo_ms,
+       operator_end, proof_age_ms ? json(*proof_age_ms) : json()});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -72,13 +70,13 @@
     }
     return decoded;
   } catch (const json::exception& error) {
-    throw CodecError(236,
-                     std::string("not a gossip message: ") + error.what());
+    throw CodecError(236, std::string("not a gossip message: ") + error.what());
   }
 }
 
 std::string DaemonAddress::Encode() const {
-  return json{{"address", address}, {"zone", zone}, {"incarnation", incarnation}}
+  return json{
+      {"address", address}, {"zone", zone}, {"incarnation", incarnation}}
       .dump();
 }
 
--- a/packages/codec/src/json/lease_text.cc
+++ b/packages/codec/src/json/lease_text.cc
@@ -21,8 +21,7 @@
     lease::LeaseRecord record;
     record.group = document.at("group").get<std::string>();
     record.holder.daemon = document.at("daemon").get<std::string>();
-    record.holder.incarnation =
-        document.at("incarnation").get<std::uint64_t>();
+    record.holder.incarnation = document.at("incarnation").get<std::uint64_t>();
     record.nonce = document.at("nonce").get<std::uint64_t>();
     record.base = document.at("base").get<std::uint64_t>();
     return record;
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -78,8 +78,7 @@
                    [](const FieldReader& r, ForwarderSettings& s) {
                      s.lease_time = r.Time(milliseconds(500), minutes(10));
                    },
-                   false, "3s",
-                   "least time between the orders of two daemons"},
+                   false, "3s", "least time between the orders of two daemons"},
     ForwarderField{"upstreams_check_fences",
                    [](const FieldReader& r, ForwarderSettings& s) {
                      s.upstreams_check_fences = r.Flag();
--- a/packages/core/include/jasminehatch/detail/forwarding/configuration.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration.h
@@ -37,7 +37,7 @@
   std::uint32_t attempts = 1;    ///< Upstreams that one request may run on.
   bool is_public = false;        ///< Needs no key.
   bool carries_prompt = false;   ///< Requests name the parts of a prompt.
-  bool resumable = false;  ///< A stream may go on at another upstream.
+  bool resumable = false;        ///< A stream may go on at another upstream.
   std::vector<WeightedService> services;
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -30,7 +30,7 @@
   bool dedicated = false;
   int priority = 5;
   std::uint64_t tokens = 0;  ///< Memory that it is expected to need.
-  std::string service;  ///< Of the current or latest attempt.
+  std::string service;       ///< Of the current or latest attempt.
   MonotonicTime arrived_at{};
   MonotonicTime deadline{};
   MonotonicTime timer{};  ///< The entry in `State::timers`.
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -40,8 +40,7 @@
 
   /// @return when the next `TimerFired` is due, if at all
   std::optional<MonotonicTime> NextTimer() const {
-    return timers.empty() ? std::nullopt
-                          : std::optional(timers.begin()->first);
+    return timers.empty() ? std::nullopt : std::optional(timers.begin()->first);
   }
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -32,8 +32,8 @@
 
   /// @return requests that it is thought to have, from what it reported
   double Load() const {
-    return std::max({load_reported + load_change,
-                     static_cast<double>(in_flight), 0.0});
+    return std::max(
+        {load_reported + load_change, static_cast<double>(in_flight), 0.0});
   }
 
   /// @return version of the weights of `model`, or 0 when it is not known
@@ -62,9 +62,7 @@
 
   /// The upstream failed an attempt.
   /// @param unreachable no connection could be opened
-  void NoteFailure(bool unreachable,
-                   MonotonicTime now,
-                   const Options& options);
+  void NoteFailure(bool unreachable, MonotonicTime now, const Options& options);
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/cache_stores.cc
+++ b/packages/core/src/forwarding/cache_stores.cc
@@ -28,8 +28,9 @@
       m_stores[service.store->address].spec = *service.store;
     }
   }
-  std::erase_if(m_stores,
-                [&](const auto& entry) { return !named.contains(entry.first); });
+  std::erase_if(m_stores, [&](const auto& entry) {
+    return !named.contains(entry.first);
+  });
 }
 
 void CacheStores::Add(Store& store, const CachedPart& part) {
--- a/packages/core/src/forwarding/fleet_load.cc
+++ b/packages/core/src/forwarding/fleet_load.cc
@@ -57,10 +57,9 @@
     return {upstream, 0, 0};
   }
   const UpstreamShare& total = found->second;
-  return {upstream,
-          static_cast<std::uint32_t>(m_scale * total.in_flight),
-          static_cast<std::uint64_t>(m_scale *
-                                     static_cast<double>(total.tokens))};
+  return {
+      upstream, static_cast<std::uint32_t>(m_scale * total.in_flight),
+      static_cast<std::uint64_t>(m_scale * static_cast<double>(total.tokens))};
 }
 
 bool FleetLoad::Heard(MonotonicTime now) {
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -93,9 +93,8 @@
     placement.mean_load = sum / static_cast<double>(m_candidates.size());
     placement.by_prompt = m_request.arrival.prompt.has_value() &&
                           m_request.arrival.prompt->parts.size() > 1;
-    const Candidate& chosen = placement.by_prompt
-                                  ? ByPrompt(placement.mean_load)
-                                  : LeastLoaded();
+    const Candidate& chosen =
+        placement.by_prompt ? ByPrompt(placement.mean_load) : LeastLoaded();
     placement.upstream = chosen.upstream;
     placement.load = chosen.load;
     placement.overloaded = HasNoMemory(chosen);
@@ -124,10 +123,10 @@
     candidate.upstream = &upstream;
     const UpstreamShare others =
         m_state.fleet.Of(FleetLoad::NameOf(upstream.entry.id), m_now);
-    const double requests =
-        m_heard_peers ? static_cast<double>(upstream.in_flight) +
-                            static_cast<double>(others.in_flight)
-                      : upstream.Load();
+    const double requests = m_heard_peers
+                                ? static_cast<double>(upstream.in_flight) +
+                                      static_cast<double>(others.in_flight)
+                                : upstream.Load();
     candidate.load = requests / std::max<double>(upstream.entry.slots, 1);
     if (m_memory > 0) {
       const std::uint64_t tokens =
@@ -137,8 +136,7 @@
     }
     candidate.load += kFailurePenalty * upstream.failure_share;
     if (m_rule.preferred > 0 &&
-        upstream.Weights(m_request.arrival.prompt->model) <
-            m_rule.preferred) {
+        upstream.Weights(m_request.arrival.prompt->model) < m_rule.preferred) {
       candidate.load += kOldWeightsPenalty;
     }
     return candidate;
@@ -171,8 +169,7 @@
     if (upstream.Weights(m_request.arrival.prompt->model) == 0) {
       return false;
     }
-    return upstream.Weights(m_request.arrival.prompt->model) >=
-           m_rule.required;
+    return upstream.Weights(m_request.arrival.prompt->model) >= m_rule.required;
   }
 
   bool HasNoMemory(const Candidate& candidate) const {
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -197,15 +197,15 @@
 bool Stepper::Authorize(Request& request) {
   const bool current = ConfigurationIsCurrent();
   if (request.route == nullptr) {
-    Refuse(request,
-           current ? RefusalCode::kUnknownRoute
-                   : RefusalCode::kConfigurationStale,
-           "no route of the host has a prefix of the path");
+    Refuse(
+        request,
+        current ? RefusalCode::kUnknownRoute : RefusalCode::kConfigurationStale,
+        "no route of the host has a prefix of the path");
     return false;
   }
   request.priority = request.route->priority;
-  const bool needs_key = request.table->Current().has_workspaces &&
-                         !request.route->is_public;
+  const bool needs_key =
+      request.table->Current().has_workspaces && !request.route->is_public;
   if (!needs_key) {
     return true;
   }
@@ -301,8 +301,8 @@
 void Stepper::StartOn(Request& request, Upstream& upstream) {
   const AttemptId id{m_state.next_attempt++};
   ++request.sends;
-  request.attempt = Request::Attempt{id, upstream.entry.id,
-                                     GiveUpTime(request), false};
+  request.attempt =
+      Request::Attempt{id, upstream.entry.id, GiveUpTime(request), false};
   upstream.NoteSent(request.tokens);
   StartAttempt start;
   start.request = request.arrival.request;
@@ -366,10 +366,9 @@
     return m_now + std::chrono::duration_cast<Duration>(
                        left * m_state.options.hedge_share);
   }
-  return m_now +
-         std::max<Duration>(
-             request.route->first_answer_goal * kStreamGiveUpFactor,
-             kStreamGiveUpLeast);
+  return m_now + std::max<Duration>(
+                     request.route->first_answer_goal * kStreamGiveUpFactor,
+                     kStreamGiveUpLeast);
 }
 
 void Stepper::Apply(const CallerLeft& event) {
@@ -378,8 +377,7 @@
     return;
   }
   if (request->attempt) {
-    m_effects.emplace_back(
-        CancelAttempt{event.request, request->attempt->id});
+    m_effects.emplace_back(CancelAttempt{event.request, request->attempt->id});
     EndAttempt(*request);
   }
   Log(*request, "caller_left",
@@ -403,8 +401,7 @@
   if (!request.attempt) {
     return;
   }
-  if (Upstream* upstream =
-          m_state.upstreams.Find(request.attempt->upstream)) {
+  if (Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream)) {
     upstream->NoteEnded(request.tokens);
   }
   request.tried.push_back(request.attempt->upstream);
@@ -421,8 +418,7 @@
              : m_state.options.reject_pause;
 }
 
-void Stepper::JudgeUpstream(const Request& request,
-                            const AttemptEnded& event) {
+void Stepper::JudgeUpstream(const Request& request, const AttemptEnded& event) {
   Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream);
   if (upstream == nullptr) {
     return;
@@ -571,8 +567,10 @@
   while (!m_state.timers.empty() && m_state.timers.begin()->first <= m_now) {
     Request& request = *Find(m_state.timers.begin()->second);
     const bool out_of_time = request.deadline <= m_now;
-    AttemptEnded timed_out{request.arrival.request, {},
-                           AttemptOutcome::kTimedOut, {},
+    AttemptEnded timed_out{request.arrival.request,
+                           {},
+                           AttemptOutcome::kTimedOut,
+                           {},
                            "no answer in time"};
     if (!request.attempt) {
       Refuse(request, RefusalCode::kDeadlineExceeded, timed_out.detail);
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -59,7 +59,8 @@
   World world;
   world.AddUpstream("u1", "desk");
   world.Wait(world.Current().options.proof_limit + 1ms);
-  CHECK(Is(RefusalCode::kConfigurationStale, OnlyRefusal(world.Send("/once/"))));
+  CHECK(
+      Is(RefusalCode::kConfigurationStale, OnlyRefusal(world.Send("/once/"))));
   OnlyStart(world.Send("/open/", ""));
   world.Confirm();
   OnlyStart(world.Send("/once/"));
@@ -80,8 +81,8 @@
   CHECK(Is(RefusalCode::kUnauthorized,
            OnlyRefusal(world.Send("/once/", "nobody"))));
   world.Wait(10s);
-  CHECK(Is(RefusalCode::kConfigurationStale,
-           OnlyRefusal(world.Send("/none/"))));
+  CHECK(
+      Is(RefusalCode::kConfigurationStale, OnlyRefusal(world.Send("/none/"))));
   CHECK(Is(RefusalCode::kConfigurationStale,
            OnlyRefusal(world.Send("/once/", "nobody"))));
 }
@@ -104,8 +105,7 @@
   const std::string first = OnlyStart(world.Send("/once/")).upstream;
   const StartAttempt second = OnlyStart(world.End(AttemptOutcome::kNotRun));
   CHECK(second.upstream != first);
-  const RefuseRequest refusal =
-      OnlyRefusal(world.End(AttemptOutcome::kBroken));
+  const RefuseRequest refusal = OnlyRefusal(world.End(AttemptOutcome::kBroken));
   CHECK(Is(RefusalCode::kUpstreamFailed, refusal));
   CHECK(refusal.verdict == Verdict::kMayHaveRun);
   CHECK_FALSE(refusal.retry_after.has_value());
@@ -118,8 +118,7 @@
   world.AddUpstream("u2", "desk");
   world.Send("/again/");
   OnlyStart(world.End(AttemptOutcome::kBroken));
-  const RefuseRequest refusal =
-      OnlyRefusal(world.End(AttemptOutcome::kNotRun));
+  const RefuseRequest refusal = OnlyRefusal(world.End(AttemptOutcome::kNotRun));
   CHECK(refusal.verdict == Verdict::kMayHaveRun);
   CHECK(Describe(refusal.code).http_status == 502);
 }
@@ -316,7 +315,8 @@
   CHECK(OnlyStart(world.Send("/prompt/")).upstream != chosen);
   world.Wait(2s);
   world.Confirm();
-  STRCMP_EQUAL(chosen.c_str(), OnlyStart(world.Send("/prompt/")).upstream.c_str());
+  STRCMP_EQUAL(chosen.c_str(),
+               OnlyStart(world.Send("/prompt/")).upstream.c_str());
 }
 
 // Guards against daemons that send prompts with the same parts to different
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -65,8 +65,8 @@
     }
   }
   CHECK(spent > 0);
-  CHECK(spent <= options.retry_ratio * kDaemons * kRequestsEach +
-                     options.retry_slack);
+  CHECK(spent <=
+        options.retry_ratio * kDaemons * kRequestsEach + options.retry_slack);
 }
 
 // Guards against an allowance that never comes back.
--- a/packages/core/tests/forwarding_world.h
+++ b/packages/core/tests/forwarding_world.h
@@ -24,7 +24,8 @@
 /// @brief A configuration of one host with a route of each kind, and the state
 /// of a daemon that has read it.
 ///
-/// Paths: `/once/`, `/again/` (idempotent, two attempts), `/prompt/` (a stream),
+/// Paths: `/once/`, `/again/` (idempotent, two attempts), `/prompt/` (a
+/// stream),
 /// `/resume/` (a resumable stream, two attempts), `/open/` (public).
 class World {
  public:
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarder.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarder.h
@@ -25,11 +25,13 @@
  public:
   /// @param incarnation greater than that of every earlier process with the
   /// same name
+  /// @param log_descriptor where decisions are logged; set to non-blocking mode
   /// @throw TransportError 301 when an address cannot be bound
   Forwarder(asio::io_context& loop,
             const codec::ForwarderSettings& settings,
             const Clock& clock,
-            std::uint64_t incarnation);
+            std::uint64_t incarnation,
+            int log_descriptor);
   ~Forwarder();
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
--- a/packages/daemon/main/main.cc
+++ b/packages/daemon/main/main.cc
@@ -6,6 +6,7 @@
 #include <jasminehatch/net.h>
 #include <jasminehatch/platform.h>
 #include <jasminehatch/telemetry.h>
+#include <unistd.h>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -51,7 +52,7 @@
   asio::io_context loop(1);
   const net::BootClock clock;
   daemon::Forwarder forwarder(loop, codec::ForwarderSettings::Read(document),
-                              clock, NewIncarnation(clock));
+                              clock, NewIncarnation(clock), STDOUT_FILENO);
   asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
   OnSignals(signals, [&](int number) {
     if (number != SIGHUP) {
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -58,30 +58,30 @@
       m_timer(loop) {}
 
 void CacheStoreFollower::List() {
-  m_engines.ListCache(m_address, [this, alive = std::weak_ptr<int>(m_alive)](
-                                     const auto& page) {
-    if (alive.expired()) {
-      return;
-    }
-    if (!page) {
-      NoteLost();
-      After(kRetryDelay, &CacheStoreFollower::List);
-      return;
-    }
-    m_reachable = true;
-    m_epoch = page->epoch;
-    m_next = page->next;
-    forwarding::CacheListed listed{m_address, page->epoch, {}};
-    for (const forwarding::CacheChange& change : page->changes) {
-      listed.parts.push_back(change.part);
-    }
-    const std::string count = std::to_string(listed.parts.size());
-    const std::array fields{DecisionLogField{"store", m_address},
-                            DecisionLogField{"parts", count}};
-    m_log.Write(DecisionLog::Level::kState, "cache_store_listed", fields);
-    m_host.Apply(listed);
-    Read();
-  });
+  m_engines.ListCache(
+      m_address, [this, alive = std::weak_ptr<int>(m_alive)](const auto& page) {
+        if (alive.expired()) {
+          return;
+        }
+        if (!page) {
+          NoteLost();
+          After(kRetryDelay, &CacheStoreFollower::List);
+          return;
+        }
+        m_reachable = true;
+        m_epoch = page->epoch;
+        m_next = page->next;
+        forwarding::CacheListed listed{m_address, page->epoch, {}};
+        for (const forwarding::CacheChange& change : page->changes) {
+          listed.parts.push_back(change.part);
+        }
+        const std::string count = std::to_string(listed.parts.size());
+        const std::array fields{DecisionLogField{"store", m_address},
+                                DecisionLogField{"parts", count}};
+        m_log.Write(DecisionLog::Level::kState, "cache_store_listed", fields);
+        m_host.Apply(listed);
+        Read();
+      });
 }
 
 void CacheStoreFollower::Read() {
@@ -110,8 +110,7 @@
   m_next = page->next;
   m_clock_ms = page->clock_ms;
   m_clock_at = m_clock.Now();
-  m_host.Apply(
-      forwarding::CacheChanged{m_address, page->epoch, page->changes});
+  m_host.Apply(forwarding::CacheChanged{m_address, page->epoch, page->changes});
   FreeUnused();
   After(m_daemons > kWaitingDaemons ? kCrowdedPause : kPause,
         &CacheStoreFollower::Read);
@@ -133,8 +132,7 @@
     return;
   }
   const auto in_use = state.upstreams.SaltPrefixesInUse();
-  const auto unused =
-      state.stores.Unused(store->second, in_use, kFreeLimit);
+  const auto unused = state.stores.Unused(store->second, in_use, kFreeLimit);
   if (unused.empty()) {
     m_unused_since.reset();
     return;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -1,7 +1,5 @@
 #include "jasminehatch/detail/forwarder/forwarder.h"
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
@@ -104,11 +102,12 @@
   Impl(asio::io_context& loop,
        const codec::ForwarderSettings& settings,
        const Clock& clock,
-       std::uint64_t incarnation)
+       std::uint64_t incarnation,
+       int log_descriptor)
       : m_loop(loop),
         m_settings(settings),
         m_clock(clock),
-        m_log(STDOUT_FILENO, clock, {}),
+        m_log(log_descriptor, clock, {}),
         m_http_client(loop),
         m_stream_client(loop, {}),
         m_store(m_http_client, settings.store_address),
@@ -131,8 +130,7 @@
                         m_store,
                         clock,
                         {std::string(platform::kOperatorTopic),
-                         kConfigurationWait,
-                         milliseconds(0)},
+                         kConfigurationWait, milliseconds(0)},
                         ConfigurationCallbacks()),
         m_registry(loop,
                    m_store,
@@ -144,9 +142,8 @@
         m_stop_timer(loop),
         m_log_timer(loop),
         m_proof_timer(loop) {
-    const std::array fields{
-        DecisionLogField{"name", settings.name},
-        DecisionLogField{"zone", settings.zone}};
+    const std::array fields{DecisionLogField{"name", settings.name},
+                            DecisionLogField{"zone", settings.zone}};
     m_log.Write(DecisionLog::Level::kState, "started", fields);
     Listen(loop);
     m_configuration.Start();
@@ -380,9 +377,8 @@
           m_configuration.ReadNow();
         }
       });
-  m_rollout.OnNews([this](const codec::WeightsNews& news) {
-    m_gossip->Announce(news);
-  });
+  m_rollout.OnNews(
+      [this](const codec::WeightsNews& news) { m_gossip->Announce(news); });
 }
 
 void Forwarder::Impl::RenewProof() {
@@ -394,8 +390,7 @@
       m_clock.Now() - m_renewed_at >= kProofRetry) {
     m_renewed_at = m_clock.Now();
     m_configuration.ReadNow();
-    m_proof_spread =
-        std::uniform_real_distribution<double>(0, 1)(m_random);
+    m_proof_spread = std::uniform_real_distribution<double>(0, 1)(m_random);
   }
   m_proof_timer.expires_after(kProofCheck);
   m_proof_timer.async_wait([this](const asio::error_code& error) {
@@ -415,8 +410,7 @@
   for (const auto& [address, store] : stores) {
     const auto [follower, added] = m_cache_stores.try_emplace(
         address, m_loop, m_clock, m_engines, m_host, m_log, address, turn);
-    follower->second.SetDaemons(
-        1 + (m_gossip ? m_gossip->LivePeers() : 0));
+    follower->second.SetDaemons(1 + (m_gossip ? m_gossip->LivePeers() : 0));
     if (added) {
       follower->second.Start();
     }
@@ -478,8 +472,13 @@
 Forwarder::Forwarder(asio::io_context& loop,
                      const codec::ForwarderSettings& settings,
                      const Clock& clock,
-                     std::uint64_t incarnation)
-    : m_impl(std::make_unique<Impl>(loop, settings, clock, incarnation)) {}
+                     std::uint64_t incarnation,
+                     int log_descriptor)
+    : m_impl(std::make_unique<Impl>(loop,
+                                    settings,
+                                    clock,
+                                    incarnation,
+                                    log_descriptor)) {}
 
 Forwarder::~Forwarder() = default;
 
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -71,8 +71,7 @@
 }
 
 void ForwardingHost::Apply(const forwarding::Event& event) {
-  for (const auto& effect :
-       forwarding::Step(event, m_clock.Now(), m_state)) {
+  for (const auto& effect : forwarding::Step(event, m_clock.Now(), m_state)) {
     std::visit([this](const auto& body) { Execute(body); }, effect);
   }
   ArmTimer();
@@ -217,10 +216,9 @@
     running->body += data;
     return;
   }
-  running->splitter.Feed(data,
-                         [&](const codec::EventSplitter::Event& event) {
-                           PassOn(id, *running, event);
-                         });
+  running->splitter.Feed(data, [&](const codec::EventSplitter::Event& event) {
+    PassOn(id, *running, event);
+  });
   if (running->exchange->UnsentBytes() > kUnsentLimit) {
     const auto exchange = running->exchange;
     Apply(forwarding::CallerLeft{id});
@@ -241,8 +239,8 @@
   }
   if (!running.begun) {
     running.begun = true;
-    running.exchange->BeginStream(running.head.status,
-                                  platform::CallerHeaders(running.head.headers));
+    running.exchange->BeginStream(
+        running.head.status, platform::CallerHeaders(running.head.headers));
     m_metrics.Observe(telemetry::Latency::kTimeToFirstToken,
                       serving::Priority::kInteractive,
                       m_clock.Now() - running.received_at);
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -65,8 +65,8 @@
   m_socket.open(endpoint.protocol(), error);
   m_socket.bind(endpoint, error);
   if (error) {
-    throw TransportError(301, "cannot bind UDP " + options.address + ": " +
-                                  error.message());
+    throw TransportError(
+        301, "cannot bind UDP " + options.address + ": " + error.message());
   }
   m_socket.non_blocking(true, error);
 }
@@ -209,12 +209,12 @@
                     milliseconds(*message.proof_age_ms);
     m_on_proof({message.operator_end, at});
   }
-  m_host.Apply(forwarding::PeerLoadReported{message.daemon,
-                                            std::move(message.shares)});
+  m_host.Apply(
+      forwarding::PeerLoadReported{message.daemon, std::move(message.shares)});
   for (const codec::WeightsNews& news : message.news) {
     if (!news.loading) {
-      m_host.Apply(forwarding::WeightsObserved{news.upstream, news.model,
-                                               news.version});
+      m_host.Apply(
+          forwarding::WeightsObserved{news.upstream, news.model, news.version});
     }
     m_host.Apply(forwarding::UpstreamLoading{news.upstream, news.loading});
   }
--- a/packages/daemon/src/forwarder/topic_follower.cc
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -29,20 +29,20 @@
 
 void TopicFollower::List() {
   const MonotonicTime sent_at = m_clock.Now();
-  m_store.ReadNewest(m_options.topic, [this, sent_at](
-                                          const platform::StorePage& page) {
-    if (page.status != platform::StorePage::Status::kRead) {
-      NoteFailure(page.detail);
-      After(kRetryDelay, &TopicFollower::List);
-      return;
-    }
-    NoteSuccess();
-    m_next = page.end;
-    m_end = m_next;
-    m_callbacks.on_listed(page.records);
-    m_callbacks.on_caught_up(sent_at);
-    After(m_options.pause, &TopicFollower::Read);
-  });
+  m_store.ReadNewest(m_options.topic,
+                     [this, sent_at](const platform::StorePage& page) {
+                       if (page.status != platform::StorePage::Status::kRead) {
+                         NoteFailure(page.detail);
+                         After(kRetryDelay, &TopicFollower::List);
+                         return;
+                       }
+                       NoteSuccess();
+                       m_next = page.end;
+                       m_end = m_next;
+                       m_callbacks.on_listed(page.records);
+                       m_callbacks.on_caught_up(sent_at);
+                       After(m_options.pause, &TopicFollower::Read);
+                     });
 }
 
 void TopicFollower::Read() {
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -102,10 +102,9 @@
           !upstream->entry.weights.contains(model)) {
         continue;
       }
-      targets.emplace(id + "/" + model,
-                      Target{id, upstream->entry.address, model,
-                             upstream->Weights(model),
-                             versions.back().version});
+      targets.emplace(id + "/" + model, Target{id, upstream->entry.address,
+                                               model, upstream->Weights(model),
+                                               versions.back().version});
     }
   }
   return targets;
@@ -126,13 +125,13 @@
     }
     return;
   }
-  const bool changed = m_targets.size() != targets.size() ||
-                       !std::equal(targets.begin(), targets.end(),
-                                   m_targets.begin(),
-                                   [](const auto& a, const auto& b) {
-                                     return a.first == b.first &&
-                                            a.second.wanted == b.second.wanted;
-                                   });
+  const bool changed =
+      m_targets.size() != targets.size() ||
+      !std::equal(targets.begin(), targets.end(), m_targets.begin(),
+                  [](const auto& a, const auto& b) {
+                    return a.first == b.first &&
+                           a.second.wanted == b.second.wanted;
+                  });
   m_targets = std::move(targets);
   if (!m_active) {
     Activate();
@@ -266,10 +265,9 @@
     }
     report.asking = true;
     report.asked_at = now;
-    m_engines.Query(target->second.upstream, target->second.address,
-                    [this, key = key](const auto& answer) {
-                      OnReport(key, answer);
-                    });
+    m_engines.Query(
+        target->second.upstream, target->second.address,
+        [this, key = key](const auto& answer) { OnReport(key, answer); });
   }
 }
 
@@ -422,14 +420,13 @@
   if (report != m_reports.end() && report->second.known) {
     order.orders_accepted = report->second.orders_accepted;
   }
-  const std::array fields{
-      DecisionLogField{"upstream", order.upstream},
-      DecisionLogField{"version", effect.value}};
+  const std::array fields{DecisionLogField{"upstream", order.upstream},
+                          DecisionLogField{"version", effect.value}};
   m_log.Write(DecisionLog::Level::kState, "weights_ordered", fields);
-  m_engines.Order(order, [this, key = effect.upstream](
-                             platform::OrderAnswer answer) {
-    OnOrderAnswer(key, answer);
-  });
+  m_engines.Order(order,
+                  [this, key = effect.upstream](platform::OrderAnswer answer) {
+                    OnOrderAnswer(key, answer);
+                  });
 }
 
 void WeightsRollout::OnOrderAnswer(const std::string& key,
@@ -439,9 +436,8 @@
     return;
   }
   const std::string number = std::to_string(static_cast<int>(answer));
-  const std::array fields{
-      DecisionLogField{"upstream", target->second.upstream},
-      DecisionLogField{"answer", number}};
+  const std::array fields{DecisionLogField{"upstream", target->second.upstream},
+                          DecisionLogField{"answer", number}};
   m_log.Write(DecisionLog::Level::kState, "order_answered", fields);
   switch (answer) {
     case platform::OrderAnswer::kAccepted:
--- /dev/null
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -0,0 +1,89 @@
+#ifndef JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_EMULATOR_H_
+#define JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_EMULATOR_H_
+
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jasminehatch/detail/http/http_message.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch::net {
+class HttpServer;
+class ResponseWriter;
+}  // namespace jasminehatch::net
+
+namespace jasminehatch::emulator {
+
+/// @brief Stand-in of the users' platform: its metadata store, a log of
+/// records by topic with reads that wait, newest records by key, conditional
+/// appends, compaction and outages.
+class PlatformEmulator {
+ public:
+  explicit PlatformEmulator(asio::io_context& loop);
+  ~PlatformEmulator();
+  PlatformEmulator(const PlatformEmulator&) = delete;
+  PlatformEmulator& operator=(const PlatformEmulator&) = delete;
+
+  /// @return `ip:port` of the store
+  std::string Address() const;
+
+  /// Writes a record of a keyed topic; an empty value removes the key.
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value);
+
+  /// Drops the records that were written so far; the newest of each key stay.
+  void Compact(const std::string& topic);
+
+  /// While down, each call gets 503.
+  void SetDown(bool down) { m_down = down; }
+
+  /// Calls that arrived so far.
+  std::uint64_t Calls() const { return m_calls; }
+
+ private:
+  struct Topic {
+    std::uint64_t first = 0;
+    std::vector<std::string> records;  ///< From `first` on, without lengths.
+    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+
+    std::uint64_t End() const { return first + records.size(); }
+  };
+
+  /// A read that waits for a record.
+  struct Waiting {
+    std::string topic;
+    std::uint64_t from = 0;
+    std::shared_ptr<net::ResponseWriter> writer;
+    std::shared_ptr<asio::steady_timer> timer;
+  };
+
+  void Handle(const net::HttpRequest& request,
+              const std::shared_ptr<net::ResponseWriter>& writer);
+  void Read(const net::HttpRequest& request,
+            const std::shared_ptr<net::ResponseWriter>& writer);
+  void ReadNewest(const net::HttpRequest& request, net::ResponseWriter& writer);
+  void Append(const net::HttpRequest& request, net::ResponseWriter& writer);
+  void AddRecord(const std::string& topic, const std::string& content);
+  std::string Page(const Topic& topic, std::uint64_t from) const;
+  void WakeReaders(const std::string& topic);
+
+  asio::io_context& m_loop;
+  std::unique_ptr<net::HttpServer> m_server;
+  std::map<std::string, Topic> m_topics;
+  std::vector<std::shared_ptr<Waiting>> m_waiting;
+  std::uint64_t m_calls = 0;
+  bool m_down = false;
+};
+
+}  // namespace jasminehatch::emulator
+
+#endif  // JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_EMULATOR_H_
--- /dev/null
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_upstream.h
@@ -0,0 +1,68 @@
+#ifndef JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_UPSTREAM_H_
+#define JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_UPSTREAM_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jasminehatch/detail/http/http_message.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace jasminehatch::net {
+class HttpServer;
+class ResponseWriter;
+}  // namespace jasminehatch::net
+
+namespace jasminehatch::emulator {
+
+/// @brief Stand-in of an upstream on the users' platform: answers what its
+/// behaviour says, checks the addressee, and counts what it ran.
+class PlatformUpstream {
+ public:
+  /// @brief What a request leads to.
+  struct Reply {
+    enum class Kind { kAnswer, kStream, kNotRun, kBreak, kHang };
+    Kind kind = Kind::kAnswer;
+    int status = 200;
+    std::string body = "done";
+    std::vector<std::string> events;  ///< Of a stream, whole ones.
+    bool cut = false;                 ///< The stream ends without its end.
+    bool wrong_id = false;            ///< It answers another request.
+    bool unsigned_answer = false;
+  };
+  using Behaviour = std::function<Reply(const net::HttpRequest& request)>;
+
+  PlatformUpstream(asio::io_context& loop, std::string id);
+  ~PlatformUpstream();
+  PlatformUpstream(const PlatformUpstream&) = delete;
+  PlatformUpstream& operator=(const PlatformUpstream&) = delete;
+
+  void SetBehaviour(Behaviour behaviour) { m_behaviour = std::move(behaviour); }
+
+  /// @return its entry of the registry
+  std::string Entry(const std::string& service, bool draining = false) const;
+
+  const std::string& Id() const { return m_id; }
+
+  /// Requests that it began to run.
+  const std::vector<net::HttpRequest>& Ran() const { return m_ran; }
+
+ private:
+  void Handle(const net::HttpRequest& request,
+              const std::shared_ptr<net::ResponseWriter>& writer);
+
+  std::string m_id;
+  Behaviour m_behaviour;
+  std::unique_ptr<net::HttpServer> m_server;
+  std::vector<net::HttpRequest> m_ran;
+  std::vector<std::shared_ptr<net::ResponseWriter>> m_hanging;
+};
+
+}  // namespace jasminehatch::emulator
+
+#endif  // JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_UPSTREAM_H_
--- /dev/null
+++ b/packages/emulator/src/platform_emulator.cc
@@ -0,0 +1,215 @@
+#include "jasminehatch/detail/emulator/platform_emulator.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <charconv>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "jasminehatch/detail/http/http_server.h"
+#include "jasminehatch/detail/http/response_writer.h"
+
+namespace jasminehatch::emulator {
+namespace {
+
+using nlohmann::json;
+
+std::uint64_t Whole(std::string_view text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+std::string BigEndian(std::uint64_t value, unsigned bytes) {
+  std::string text;
+  for (unsigned shift = bytes * 8; shift > 0; shift -= 8) {
+    text += static_cast<char>(value >> (shift - 8) & 0xffU);
+  }
+  return text;
+}
+
+std::string Base64(std::string_view bytes) {
+  static constexpr std::string_view kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t j = 0; j < 3; ++j) {
+      const std::uint32_t byte =
+          i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0;
+      group = group << 8U | byte;
+    }
+    for (std::size_t j = 0; j < 4; ++j) {
+      text +=
+          i + j <= bytes.size() ? kDigits[group >> (18 - 6 * j) & 0x3fU] : '=';
+    }
+  }
+  return text;
+}
+
+bool IsKeyed(const std::string& topic) {
+  return topic.starts_with("keyed.");
+}
+
+std::string TopicOf(const net::HttpRequest& request) {
+  return std::string(net::FindQueryParameter(request.query, "topic"));
+}
+
+}  // namespace
+
+PlatformEmulator::PlatformEmulator(asio::io_context& loop) : m_loop(loop) {
+  m_server = std::make_unique<net::HttpServer>(
+      loop, net::HttpServer::Options{},
+      [this](const net::HttpRequest& request,
+             const std::shared_ptr<net::ResponseWriter>& writer) {
+        Handle(request, writer);
+      });
+}
+
+PlatformEmulator::~PlatformEmulator() = default;
+
+std::string PlatformEmulator::Address() const {
+  return "127.0.0.1:" + std::to_string(m_server->Port());
+}
+
+void PlatformEmulator::Put(const std::string& topic,
+                           const std::string& key,
+                           const std::string& value) {
+  AddRecord(topic, BigEndian(key.size(), 1) + key + value);
+}
+
+void PlatformEmulator::AddRecord(const std::string& topic,
+                                 const std::string& content) {
+  Topic& target = m_topics[topic];
+  if (IsKeyed(topic)) {
+    const std::size_t length = static_cast<unsigned char>(content[0]);
+    const std::string key = content.substr(1, length);
+    if (content.size() > 1 + length) {
+      target.newest[key] = {target.End(), content.substr(1 + length)};
+    } else {
+      target.newest.erase(key);
+    }
+  }
+  target.records.push_back(content);
+  WakeReaders(topic);
+}
+
+void PlatformEmulator::Compact(const std::string& topic) {
+  Topic& target = m_topics[topic];
+  target.first = target.End();
+  target.records.clear();
+  WakeReaders(topic);
+}
+
+void PlatformEmulator::Handle(
+    const net::HttpRequest& request,
+    const std::shared_ptr<net::ResponseWriter>& writer) {
+  ++m_calls;
+  if (m_down) {
+    writer->Send(503, {}, "");
+  } else if (request.path == "/log-read") {
+    Read(request, writer);
+  } else if (request.path == "/log-newest") {
+    ReadNewest(request, *writer);
+  } else if (request.path == "/log-append") {
+    Append(request, *writer);
+  } else {
+    writer->Send(404, {}, "");
+  }
+}
+
+std::string PlatformEmulator::Page(const Topic& topic,
+                                   std::uint64_t from) const {
+  std::string page = BigEndian(topic.End(), 8) + BigEndian(topic.first, 8);
+  for (std::uint64_t at = from; at < topic.End(); ++at) {
+    const std::string& record = topic.records.at(at - topic.first);
+    page += BigEndian(record.size(), 4) + record;
+  }
+  return page;
+}
+
+void PlatformEmulator::Read(
+    const net::HttpRequest& request,
+    const std::shared_ptr<net::ResponseWriter>& writer) {
+  const std::string name = TopicOf(request);
+  const Topic& topic = m_topics[name];
+  const auto from = Whole(net::FindQueryParameter(request.query, "from"));
+  const auto wait = Whole(net::FindQueryParameter(request.query, "waitMs"));
+  if (from < topic.first) {
+    writer->Send(410, {}, json{{"first", topic.first}}.dump());
+    return;
+  }
+  if (from < topic.End() || wait == 0) {
+    writer->Send(200, {}, Page(topic, from));
+    return;
+  }
+  auto waiting = std::make_shared<Waiting>(Waiting{
+      name, from, writer, std::make_shared<asio::steady_timer>(m_loop)});
+  m_waiting.push_back(waiting);
+  waiting->timer->expires_after(std::chrono::milliseconds(wait));
+  waiting->timer->async_wait([this, waiting](const asio::error_code& error) {
+    if (!error && std::erase(m_waiting, waiting) > 0) {
+      waiting->writer->Send(200, {},
+                            Page(m_topics[waiting->topic], waiting->from));
+    }
+  });
+}
+
+void PlatformEmulator::WakeReaders(const std::string& topic) {
+  const auto waiting = m_waiting;
+  for (const auto& reader : waiting) {
+    if (reader->topic != topic) {
+      continue;
+    }
+    std::erase(m_waiting, reader);
+    reader->timer->cancel();
+    const Topic& target = m_topics[topic];
+    if (reader->from < target.first) {
+      reader->writer->Send(410, {}, json{{"first", target.first}}.dump());
+    } else {
+      reader->writer->Send(200, {}, Page(target, reader->from));
+    }
+  }
+}
+
+void PlatformEmulator::ReadNewest(const net::HttpRequest& request,
+                                  net::ResponseWriter& writer) {
+  const Topic& topic = m_topics[TopicOf(request)];
+  json items = json::array();
+  for (const auto& [key, entry] : topic.newest) {
+    items.push_back({{"key", key},
+                     {"value", Base64(entry.second)},
+                     {"offset", entry.first}});
+  }
+  writer.Send(
+      200, {{"Content-Type", "application/json"}},
+      json{
+          {"items", std::move(items)}, {"hasMore", false}, {"end", topic.End()}}
+          .dump());
+}
+
+void PlatformEmulator::Append(const net::HttpRequest& request,
+                              net::ResponseWriter& writer) {
+  const std::string name = TopicOf(request);
+  const Topic& topic = m_topics[name];
+  const std::string_view at = net::FindQueryParameter(request.query, "at");
+  if (!at.empty() && Whole(at) != topic.End()) {
+    writer.Send(412, {}, json{{"end", topic.End()}}.dump());
+    return;
+  }
+  const std::uint64_t offset = topic.End();
+  std::string_view body = request.body;
+  while (body.size() >= 4) {
+    std::size_t length = 0;
+    for (const char c : body.substr(0, 4)) {
+      length = length << 8U | static_cast<unsigned char>(c);
+    }
+    body.remove_prefix(4);
+    AddRecord(name, std::string(body.substr(0, length)));
+    body.remove_prefix(std::min(length, body.size()));
+  }
+  writer.Send(200, {}, json{{"offset", offset}, {"end", topic.End()}}.dump());
+}
+
+}  // namespace jasminehatch::emulator
--- /dev/null
+++ b/packages/emulator/src/platform_upstream.cc
@@ -0,0 +1,89 @@
+#include "jasminehatch/detail/emulator/platform_upstream.h"
+
+#include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include "jasminehatch/detail/http/http_server.h"
+#include "jasminehatch/detail/http/response_writer.h"
+
+namespace jasminehatch::emulator {
+
+PlatformUpstream::PlatformUpstream(asio::io_context& loop, std::string id)
+    : m_id(std::move(id)),
+      m_behaviour([](const net::HttpRequest&) { return Reply{}; }) {
+  m_server = std::make_unique<net::HttpServer>(
+      loop, net::HttpServer::Options{},
+      [this](const net::HttpRequest& request,
+             const std::shared_ptr<net::ResponseWriter>& writer) {
+        Handle(request, writer);
+      });
+}
+
+PlatformUpstream::~PlatformUpstream() = default;
+
+std::string PlatformUpstream::Entry(const std::string& service,
+                                    bool draining) const {
+  return nlohmann::json{
+      {"service", service},
+      {"address", "127.0.0.1:" + std::to_string(m_server->Port())},
+      {"zone", "a"},
+      {"version", "v1"},
+      {"slots", 8},
+      {"state", draining ? "draining" : "ready"},
+      {"coldLeftMs", 0},
+      {"seq", 0},
+      {"born", 1},
+      {"models", nlohmann::json::array({{{"name", "m"}, {"version", 1}}})}}
+      .dump();
+}
+
+void PlatformUpstream::Handle(
+    const net::HttpRequest& request,
+    const std::shared_ptr<net::ResponseWriter>& writer) {
+  const std::string_view target =
+      net::FindHeader(request.headers, "X-Target-Instance");
+  if (!target.empty() && target != m_id) {
+    writer->Send(421, {{"X-Instance-Id", m_id}, {"X-Not-Executed", "1"}}, "");
+    return;
+  }
+  const Reply reply = m_behaviour(request);
+  const std::string id(net::FindHeader(request.headers, "X-Request-Id"));
+  net::HttpHeaders headers{{"X-Request-Id", reply.wrong_id ? "other" : id}};
+  if (reply.kind == Reply::Kind::kNotRun) {
+    headers.push_back({"X-Not-Executed", "1"});
+    writer->Send(503, headers, "");
+    return;
+  }
+  m_ran.push_back(request);
+  if (!reply.unsigned_answer) {
+    headers.push_back({"X-Response-Signature", "signature-of-" + m_id});
+  }
+  switch (reply.kind) {
+    case Reply::Kind::kAnswer:
+      writer->Send(reply.status, headers, reply.body);
+      return;
+    case Reply::Kind::kHang:
+      m_hanging.push_back(writer);
+      return;
+    case Reply::Kind::kBreak:
+      writer->BeginTruncatedStream(200, headers);
+      writer->Write("half");
+      writer->End();
+      return;
+    case Reply::Kind::kStream:
+    case Reply::Kind::kNotRun:
+      break;
+  }
+  headers.push_back({"Content-Type", "text/event-stream"});
+  if (reply.cut) {
+    writer->BeginTruncatedStream(200, headers);
+  } else {
+    writer->BeginStream(200, headers);
+  }
+  for (const std::string& event : reply.events) {
+    writer->Write(event);
+  }
+  writer->End();
+}
+
+}  // namespace jasminehatch::emulator
--- a/packages/net/include/jasminehatch/detail/stream/stream_client.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_client.h
@@ -21,7 +21,7 @@
 struct StreamCall {
   std::string address;  ///< IP number and port of the upstream, `ip:port`.
   std::string method;
-  std::string target;  ///< Path and query, sent as they are.
+  std::string target;   ///< Path and query, sent as they are.
   HttpHeaders headers;  ///< Without the framing of the body.
   std::string body;
   std::chrono::milliseconds total_timeout{0};  ///< From the start; 0 for none.
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -25,8 +25,7 @@
 
 /// @brief One caller connection: reads requests one after another and writes
 /// their responses.
-class ServerConnection
-    : public std::enable_shared_from_this<ServerConnection> {
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   using Time = std::chrono::steady_clock::time_point;
 
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -128,8 +128,8 @@
 StreamClient::CallId StreamClient::Impl::Start(StreamCall request,
                                                Callbacks callbacks) {
   const CallId id = m_next_id++;
-  auto call = std::make_shared<Call>(m_loop, std::move(request),
-                                     std::move(callbacks));
+  auto call =
+      std::make_shared<Call>(m_loop, std::move(request), std::move(callbacks));
   m_calls.emplace(id, call);
   if (call->request.total_timeout.count() > 0) {
     call->timer.expires_after(call->request.total_timeout);
--- a/packages/net/src/stream/stream_server.cc
+++ b/packages/net/src/stream/stream_server.cc
@@ -1,9 +1,9 @@
 #include "jasminehatch/detail/stream/stream_server.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -147,8 +147,7 @@
                            const std::string& address,
                            std::uint16_t port,
                            Handler handler)
-    : m_impl(
-          std::make_shared<Impl>(loop, address, port, std::move(handler))) {
+    : m_impl(std::make_shared<Impl>(loop, address, port, std::move(handler))) {
   m_impl->Start();
 }
 
--- a/packages/net/tests/stream_test.cc
+++ b/packages/net/tests/stream_test.cc
@@ -63,15 +63,15 @@
 
  private:
   void Accept() {
-    m_acceptor.async_accept([this](const asio::error_code& error,
-                                   tcp::socket socket) {
-      if (error) {
-        return;
-      }
-      m_sockets.push_back(std::make_shared<tcp::socket>(std::move(socket)));
-      Read(m_sockets.back(), std::make_shared<std::string>());
-      Accept();
-    });
+    m_acceptor.async_accept(
+        [this](const asio::error_code& error, tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          m_sockets.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+          Read(m_sockets.back(), std::make_shared<std::string>());
+          Accept();
+        });
   }
 
   void Read(const std::shared_ptr<tcp::socket>& socket,
@@ -256,8 +256,7 @@
 // Guards against a new connection for each request.
 TEST(Stream, ReusesAConnectionWithoutExtraBytes) {
   asio::io_context loop;
-  RawUpstream upstream(loop,
-                       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+  RawUpstream upstream(loop, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
                        RawUpstream::After::kKeep);
   StreamClient client(loop, {});
   for (int i = 0; i < 3; ++i) {
@@ -335,8 +334,8 @@
            std::string("Host: other\r\n"),
            std::string("X-A: b\x01\r\n"),
        }) {
-    const std::string answer = Exchange(
-        start + framing + "\r\n0\r\n\r\n" + hidden, count);
+    const std::string answer =
+        Exchange(start + framing + "\r\n0\r\n\r\n" + hidden, count);
     CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 400"), framing.c_str());
     CHECK_TRUE_TEXT(answer.find("Connection: close") != answer.npos,
                     framing.c_str());
@@ -347,15 +346,14 @@
 // Guards against limits that are not kept, and a wrong status for them.
 TEST(Stream, KeepsTheLimitsOfHeadAndBody) {
   const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
-  const std::string long_head =
-      Exchange(start + "X-Long: " + std::string(40'000, 'a') + "\r\n\r\n",
-               kEcho);
+  const std::string long_head = Exchange(
+      start + "X-Long: " + std::string(40'000, 'a') + "\r\n\r\n", kEcho);
   CHECK(long_head.starts_with("HTTP/1.1 431"));
   const std::size_t size = (4UL << 20U) + 1;
-  const std::string long_body = Exchange(
-      start + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
-          std::string(size, 'b'),
-      kEcho);
+  const std::string long_body =
+      Exchange(start + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+                   std::string(size, 'b'),
+               kEcho);
   CHECK(long_body.starts_with("HTTP/1.1 413"));
 }
 
@@ -372,13 +370,13 @@
 
 // Guards against a stream that was broken off and looks complete.
 TEST(Stream, AnAbortedStreamHasNoEnd) {
-  const std::string answer = Exchange(
-      "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
-      [](const std::shared_ptr<ServerExchange>& exchange) {
-        exchange->BeginStream(200, {});
-        exchange->Write("data: 1\n\n");
-        exchange->Abort();
-      });
+  const std::string answer =
+      Exchange("GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+               [](const std::shared_ptr<ServerExchange>& exchange) {
+                 exchange->BeginStream(200, {});
+                 exchange->Write("data: 1\n\n");
+                 exchange->Abort();
+               });
   CHECK(answer.find("0\r\n\r\n") == answer.npos);
 }
 
--- a/packages/telemetry/src/decision_log.cc
+++ b/packages/telemetry/src/decision_log.cc
@@ -44,9 +44,8 @@
   m_budget_at = now;
   m_budget = std::min(m_budget + seconds * m_options.bytes_per_second,
                       m_options.burst_bytes);
-  const double reserved =
-      kReservedShare.at(static_cast<std::size_t>(level)) *
-      m_options.burst_bytes;
+  const double reserved = kReservedShare.at(static_cast<std::size_t>(level)) *
+                          m_options.burst_bytes;
   if (m_budget - static_cast<double>(bytes) < reserved ||
       m_pending.size() + bytes > m_options.pending_limit) {
     return false;
