--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -5,6 +5,8 @@
   # overlap within its own string concatenation.
   $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>
   $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>
+  # The linter reads these options with clang.
+  -Wno-unknown-warning-option
   # Designated initializers leave the other members at their defaults.
   -Wno-missing-field-initializers)
 
--- a/packages/core/include/jasminehatch/detail/forwarding/effect.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/effect.h
@@ -25,8 +25,6 @@
   std::vector<std::string> fetch;
   /// For each part the address of the store to save it to, or empty.
   std::vector<std::string> save;
-  /// A fetch that is not done by then is dropped, so that parts can be freed.
-  MonotonicTime fetch_until{};
 };
 
 /// Send the request to an upstream.
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -23,9 +23,6 @@
 /// An attempt is not started with less time left.
 constexpr std::chrono::milliseconds kMinimumTime{20};
 
-/// Longest time from the decision to the end of a fetch of cached parts.
-constexpr std::chrono::milliseconds kFetchTime{2500};
-
 /// Shorter parts are read again sooner than they are moved.
 constexpr std::uint32_t kLeastSavedTokens = 64;
 
@@ -341,7 +338,6 @@
   const auto& parts = request.arrival.prompt->parts;
   order.fetch.resize(parts.size());
   order.save.resize(parts.size());
-  order.fetch_until = m_now + kFetchTime;
   // The last part is the request's own and does not return.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     const PromptPart& part = parts[i];
@@ -431,8 +427,6 @@
       upstream->paused_until = m_now + PauseAfterRejection(request, *upstream);
       return;
     case AttemptOutcome::kNotSent:
-      upstream->NoteFailure(true, m_now, m_state.options);
-      return;
     case AttemptOutcome::kWrongUpstream:
       upstream->NoteFailure(true, m_now, m_state.options);
       return;
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -1,5 +1,6 @@
 #include "jasminehatch/detail/forwarder/weights_rollout.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <utility>
@@ -52,9 +53,9 @@
 /// An engine that has not finished by then is ordered again.
 constexpr milliseconds kLoadTimeout{5000};
 
-/// Engines that finish their runs or load at once. Only the loads slow each
-/// other down, and they are a small part of that time.
-constexpr std::size_t kEnginesAtOnce = 4;
+/// Engines that load at once: more slow each other down.
+constexpr std::size_t kLeastAtOnce = 2;
+constexpr std::size_t kEnginesPerLoad = 6;
 
 lease::UpstreamState StateOf(std::uint64_t version) {
   lease::UpstreamState state;
@@ -87,7 +88,6 @@
   m_lease.options.read_age = kRenewAfter;
   m_lease.options.append_retry = milliseconds(400);
   m_lease.options.order_retry = kOrderRetry;
-  m_rollout.options.max_loads = kEnginesAtOnce;
   m_rollout.options.load_timeout = kLoadTimeout;
 }
 
@@ -176,6 +176,8 @@
 }
 
 void WeightsRollout::ApplyTargets() {
+  m_rollout.options.max_loads =
+      std::max(kLeastAtOnce, m_targets.size() / kEnginesPerLoad);
   rollout::TargetsConfigured configured;
   for (const auto& [key, target] : m_targets) {
     const rollout::ModelVersion wanted{target.model,
@@ -412,7 +414,9 @@
   order.address = target->second.address;
   order.model = target->second.model;
   order.version = target->second.wanted;
-  order.runs = platform::RunsAtChange::kFinishFirst;
+  // Engines that finish their runs first take no new ones for seconds, which
+  // costs callers more than what the runs lose.
+  order.runs = platform::RunsAtChange::kContinue;
   order.holder = m_options.daemon;
   // Upstreams that do not check the number want one all the same.
   order.fence = m_lease.groups.at(kGroup).offset;
