--- a/packages/daemon/tests/documentation_test.cc
+++ b/packages/daemon/tests/documentation_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 std::string ReadOperationsPage() {
-  std::ifstream stream(JASMINEHATCH_SOURCE_DIR "/docs/operations.md");
+  std::ifstream stream(JASMINEHATCH_SOURCE_DIR "/docs/OPERATIONS.md");
   return {std::istreambuf_iterator<char>(stream),
           std::istreambuf_iterator<char>()};
 }
@@ -46,6 +46,8 @@
 // Guards against settings that changed without the page; scripts/update-docs
 // writes the table.
 TEST(Documentation, OperationsPageHasTheTableOfSettings) {
-  const std::string table = codec::DaemonSettings::Documentation();
-  CHECK(ReadOperationsPage().find(table) != std::string::npos);
+  const std::string page = ReadOperationsPage();
+  CHECK(page.find(codec::DaemonSettings::Documentation()) != std::string::npos);
+  CHECK(page.find(codec::ForwarderSettings::Documentation()) !=
+        std::string::npos);
 }
