--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -113,6 +113,14 @@
            m_now - *m_state.confirmed_at <= m_state.options.proof_limit;
   }
 
+  /// @return the age of the proof that the configuration is current, for logs
+  std::string ProofAge() const {
+    return m_state.confirmed_at
+               ? "the configuration was proved current " +
+                     Milliseconds(m_now - *m_state.confirmed_at) + " ms ago"
+               : "the configuration was not yet proved current";
+  }
+
   /// @return whether the request may go on; it is refused otherwise
   bool Authorize(Request& request);
   void ChooseService(Request& request);
@@ -209,8 +217,7 @@
   // A key may have been taken away since the newest proof.
   if (!current) {
     Refuse(request, RefusalCode::kConfigurationStale,
-           "the configuration is not proved current, so that keys cannot be "
-           "checked");
+           "keys cannot be checked: " + ProofAge());
     return false;
   }
   const Workspace* workspace =
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -32,7 +32,7 @@
   return refusals.front();
 }
 
-bool Is(RefusalCode code, const RefuseRequest refusal) {
+bool Is(RefusalCode code, const RefuseRequest& refusal) {
   return refusal.code == code;
 }
 
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -55,7 +55,7 @@
   void Apply(const forwarding::Event& event);
 
   /// Takes a caller's request.
-  void OnRequest(std::shared_ptr<net::ServerExchange> exchange);
+  void OnRequest(const std::shared_ptr<net::ServerExchange>& exchange);
 
   const forwarding::State& State() const { return m_state; }
 
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -232,8 +232,8 @@
   const net::IpPort front = RequireIpPort(m_settings.address);
   m_server = std::make_unique<net::StreamServer>(
       loop, front.ip, front.port,
-      [this](std::shared_ptr<net::ServerExchange> exchange) {
-        m_host.OnRequest(std::move(exchange));
+      [this](const std::shared_ptr<net::ServerExchange>& exchange) {
+        m_host.OnRequest(exchange);
       });
   const net::IpPort ready = RequireIpPort(m_settings.ready_address);
   net::HttpServer::Options options;
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -103,7 +103,8 @@
                 RefusalBody(kCode, Verdict::kNotRun, "", cause));
 }
 
-void ForwardingHost::OnRequest(std::shared_ptr<net::ServerExchange> exchange) {
+void ForwardingHost::OnRequest(
+    const std::shared_ptr<net::ServerExchange>& exchange) {
   m_metrics.CountRequest();
   const RequestId id{m_next_request++};
   forwarding::RequestReceived received;
