Refuse requests that crashed three upstreams on all daemons; divide the retry slack by the fleet

Each daemon used an eighth of the retry slack, also where 82 daemons run. The slack is now divided by the daemons that lived within the last minute, eight at least.

Crashes are told to all daemons by gossip, once by each that hears of them. After three different crashes a request is refused with 503 and the time for which that holds. Reports are bounded in number and in time.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 
 namespace jasminehatch::codec {
@@ -36,6 +37,7 @@
   std::optional<std::uint64_t> proof_age_ms;
   std::vector<forwarding::UpstreamShare> shares;
   std::vector<WeightsNews> news;
+  std::vector<forwarding::CrashReport> crashes;
 
   /// @return the message as MessagePack
   std::string Encode() const;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -10,7 +10,7 @@
 using nlohmann::json;
 
 /// Changes when older daemons could misread a message.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 forwarding::UpstreamShare DecodeShare(const json& entry) {
   return {entry.at(0).get<std::uint32_t>(), entry.at(1).get<std::uint32_t>(),
@@ -35,10 +35,16 @@
     encoded_news.push_back(json::array(
         {entry.upstream, entry.model, entry.version, entry.loading}));
   }
+  json encoded_crashes = json::array();
+  for (const forwarding::CrashReport& report : crashes) {
+    encoded_crashes.push_back(
+        json::array({report.fingerprint, report.upstream}));
+  }
   const json message = json::array(
       {kFormat, daemon, address, zone, incarnation, sequence,
        std::move(encoded_shares), std::move(encoded_news), sent_ms, echo_ms,
-       operator_end, proof_age_ms ? json(*proof_age_ms) : json()});
+       operator_end, proof_age_ms ? json(*proof_age_ms) : json(),
+       std::move(encoded_crashes)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -68,6 +74,10 @@
     if (!message.at(11).is_null()) {
       decoded.proof_age_ms = message.at(11).get<std::uint64_t>();
     }
+    for (const json& entry : message.at(12)) {
+      decoded.crashes.push_back(
+          {entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>()});
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/core/include/jasminehatch/core.h
+++ b/packages/core/include/jasminehatch/core.h
@@ -41,6 +41,7 @@
 #include "jasminehatch/detail/forwarding/cache_event.h"
 #include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
+#include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/effect.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/options.h"
--- a/packages/core/include/jasminehatch/detail/base/refusal.h
+++ b/packages/core/include/jasminehatch/detail/base/refusal.h
@@ -33,6 +33,7 @@
   kConfigurationStale,
   kShuttingDown,
   kCallerTooSlow,
+  kCrashSuspect,
   kCount,
 };
 
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
@@ -0,0 +1,51 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDING_CRASH_SUSPECTS_H_
+#define JASMINEHATCH_DETAIL_FORWARDING_CRASH_SUSPECTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "jasminehatch/detail/base/time.h"
+
+namespace jasminehatch::forwarding {
+
+/// @brief An upstream broke off while it ran a request.
+struct CrashReport {
+  std::uint64_t fingerprint = 0;  ///< Of the request.
+  std::uint64_t upstream = 0;     ///< Of the upstream and its start.
+
+  friend bool operator==(const CrashReport&, const CrashReport&) = default;
+};
+
+/// @brief Requests that may crash the upstreams that run them.
+///
+/// A crash takes all requests of an upstream with it. The one that caused it is
+/// told from the others by coming again and crashing further upstreams.
+/// Memory is bounded: the entry that was reported least recently is dropped.
+class CrashSuspects {
+ public:
+  /// @return whether the report was new
+  bool Note(const CrashReport& report, MonotonicTime now);
+
+  /// @return how long requests with this fingerprint are still refused, if so
+  std::optional<Duration> Refused(std::uint64_t fingerprint,
+                                  MonotonicTime now) const;
+
+  std::size_t Size() const { return m_entries.size(); }
+
+ private:
+  struct Entry {
+    std::vector<std::uint64_t> upstreams;  ///< Different ones.
+    MonotonicTime reported_at{};
+  };
+
+  void DropOldest(MonotonicTime now);
+
+  std::unordered_map<std::uint64_t, Entry> m_entries;
+};
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDING_CRASH_SUSPECTS_H_
--- a/packages/core/include/jasminehatch/detail/forwarding/effect.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/effect.h
@@ -14,6 +14,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/base/verdict.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
+#include "jasminehatch/detail/forwarding/crash_suspects.h"
 
 namespace jasminehatch::forwarding {
 
@@ -63,6 +64,11 @@
   std::optional<Duration> retry_after;
 };
 
+/// Tell the other daemons of a crash.
+struct ShareCrash {
+  CrashReport report;
+};
+
 /// @brief An input or the outcome of a decision.
 struct DecisionField {
   std::string_view name;
@@ -80,6 +86,7 @@
                             CancelAttempt,
                             DeliverAnswer,
                             RefuseRequest,
+                            ShareCrash,
                             LogDecision,
                             CountEvent>;
 
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -12,6 +12,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_event.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
+#include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 
 namespace jasminehatch::forwarding {
@@ -148,9 +149,15 @@
   std::string detail;      ///< For logs.
 };
 
-/// The number of other daemons that are thought to live.
+/// How many other daemons there are.
 struct PeersKnown {
-  std::size_t count = 0;
+  std::size_t count = 0;   ///< Those that are thought to live.
+  std::size_t recent = 0;  ///< Those that lived lately, dead ones included.
+};
+
+/// Another daemon met or heard of a crash.
+struct CrashReported {
+  CrashReport report;
 };
 
 /// The time returned by `State::NextTimer` has come.
@@ -175,6 +182,7 @@
                            CacheStoreLost,
                            PeerLoadReported,
                            PeersKnown,
+                           CrashReported,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -22,7 +22,7 @@
   double retry_ratio = 0.2;
   double retry_slack = 50;
   Duration retry_window = std::chrono::seconds(10);
-  /// Daemons that the slack is divided among.
+  /// Daemons that the slack is divided among, at least.
   std::uint32_t daemons = 8;
 
   /// After an outage of the registry, removed upstreams stay in use this long,
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -21,6 +21,8 @@
     std::string upstream;
     std::optional<MonotonicTime> give_up_at;
     bool answer_started = false;
+    std::uint32_t fetched_tokens = 0;  ///< Read from cache stores.
+    std::uint32_t saved_tokens = 0;    ///< Written to cache stores.
   };
 
   RequestReceived arrival;
--- a/packages/core/include/jasminehatch/detail/forwarding/retry_allowance.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/retry_allowance.h
@@ -19,6 +19,10 @@
 /// its part of the number, so that the sum holds without messages.
 class RetryAllowance {
  public:
+  /// Sets among how many daemons the slack is divided; `Options::daemons` is
+  /// the least.
+  void SetDaemons(std::size_t daemons) { m_daemons = daemons; }
+
   void NoteRequest(const std::string& service,
                    MonotonicTime now,
                    const Options& options);
@@ -39,6 +43,7 @@
                const Options& options);
 
   std::unordered_map<std::string, Window> m_windows;
+  std::size_t m_daemons = 1;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -13,6 +13,7 @@
 #include "jasminehatch/detail/base/strong_id.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_stores.h"
+#include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/request.h"
@@ -33,6 +34,7 @@
   UpstreamDirectory upstreams;
   CacheStores stores;
   FleetLoad fleet;
+  CrashSuspects crashes;
   std::unordered_map<RequestId, Request> requests;
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
--- a/packages/core/src/base/refusal.cc
+++ b/packages/core/src/base/refusal.cc
@@ -34,6 +34,7 @@
     {kConfigurationStale, "configuration_stale", 3009, 503, true},
     {kShuttingDown, "shutting_down", 3010, 503, true},
     {kCallerTooSlow, "caller_too_slow", 3011, 408, false},
+    {kCrashSuspect, "crash_suspect", 3012, 503, true},
 }};
 
 constexpr bool TableIsInEnumOrder() {
--- a/packages/core/src/forwarding/retry_allowance.cc
+++ b/packages/core/src/forwarding/retry_allowance.cc
@@ -38,10 +38,12 @@
                               MonotonicTime now,
                               const Options& options) {
   Window& window = Trim(service, now, options);
+  const double daemons = std::max(static_cast<double>(m_daemons),
+                                  static_cast<double>(options.daemons));
   const double allowed =
       kUsedShare *
       (options.retry_ratio * static_cast<double>(window.requests.size()) +
-       options.retry_slack / std::max<double>(options.daemons, 1));
+       options.retry_slack / std::max(daemons, 1.0));
   if (static_cast<double>(window.retries.size()) + 1 > allowed) {
     return false;
   }
--- /dev/null
+++ b/packages/core/src/forwarding/stepper.h
@@ -0,0 +1,144 @@
+#ifndef JASMINEHATCH_CORE_SRC_FORWARDING_STEPPER_H_
+#define JASMINEHATCH_CORE_SRC_FORWARDING_STEPPER_H_
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "jasminehatch/detail/forwarding/effect.h"
+#include "jasminehatch/detail/forwarding/event.h"
+#include "jasminehatch/detail/forwarding/placement.h"
+#include "jasminehatch/detail/forwarding/state.h"
+
+namespace jasminehatch::forwarding {
+
+/// An attempt is not started with less time left.
+inline constexpr std::chrono::milliseconds kMinimumTime{20};
+
+/// @return whole milliseconds, for logs
+std::string Milliseconds(Duration duration);
+
+/// Applies one event to the state and collects the effects.
+class Stepper {
+ public:
+  Stepper(State& state, MonotonicTime now) : m_state(state), m_now(now) {}
+
+  void Apply(const ConfigurationRead& event);
+  void Apply(const ConfigurationConfirmed& event) {
+    if (!m_state.confirmed_at || event.sent_at > *m_state.confirmed_at) {
+      m_state.confirmed_at = event.sent_at;
+    }
+  }
+  void Apply(const UpstreamRegistered& event) {
+    m_state.upstreams.Register(event.entry);
+  }
+  void Apply(const UpstreamRemoved& event) {
+    m_state.upstreams.Remove(event.id, m_now);
+  }
+  void Apply(const UpstreamsListed& event) {
+    m_state.upstreams.List(event.entries, m_now);
+  }
+  void Apply(const RegistryRegained& /*event*/) {
+    m_state.upstreams.Regained(m_now, m_state.options);
+  }
+  void Apply(const WeightsNamed& event) {
+    m_state.upstreams.NameWeights(event, m_now);
+  }
+  void Apply(const RequestReceived& event);
+  void Apply(const CallerLeft& event);
+  void Apply(const AnswerStarted& event);
+  void Apply(const LoadObserved& event) {
+    if (Upstream* upstream = m_state.upstreams.Find(event.upstream)) {
+      upstream->NoteLoad(event.running, event.waiting);
+    }
+  }
+  void Apply(const WeightsObserved& event) {
+    m_state.upstreams.ObserveWeights(event);
+  }
+  void Apply(const UpstreamLoading& event) {
+    if (Upstream* upstream = m_state.upstreams.Find(event.upstream)) {
+      upstream->loading = event.loading;
+    }
+  }
+  void Apply(const AttemptEnded& event);
+  void Apply(const CacheListed& event) { m_state.stores.Apply(event); }
+  void Apply(const CacheChanged& event) { m_state.stores.Apply(event); }
+  void Apply(const CacheStoreLost& event) { m_state.stores.Apply(event); }
+  void Apply(const PeerLoadReported& event) {
+    m_state.fleet.Apply(event, m_now);
+  }
+  void Apply(const PeersKnown& event) {
+    m_state.fleet.SetPeers(event.count);
+    m_state.retries.SetDaemons(event.recent + 1);
+  }
+  void Apply(const CrashReported& event) { NoteCrash(event.report); }
+  void Apply(const TimerFired& event);
+
+  Effects TakeEffects() { return std::move(m_effects); }
+
+ private:
+  Request* Find(RequestId id) {
+    const auto found = m_state.requests.find(id);
+    return found == m_state.requests.end() ? nullptr : &found->second;
+  }
+  bool ConfigurationIsCurrent() const {
+    return m_state.table && m_state.confirmed_at &&
+           m_now - *m_state.confirmed_at <= m_state.options.proof_limit;
+  }
+
+  /// @return the age of the proof that the configuration is current, for logs
+  std::string ProofAge() const {
+    return m_state.confirmed_at
+               ? "the configuration was proved current " +
+                     Milliseconds(m_now - *m_state.confirmed_at) + " ms ago"
+               : "the configuration was not yet proved current";
+  }
+
+  /// @return whether the request may go on; it is refused otherwise
+  bool Authorize(Request& request);
+  void ChooseService(Request& request);
+  /// Remembers a crash, and tells it on when it is new.
+  void NoteCrash(const CrashReport& report);
+  /// @return whether the request is refused, since it crashed upstreams
+  bool RefuseCrashSuspect(Request& request);
+  void Dispatch(Request& request);
+  void StartOn(Request& request, Upstream& upstream);
+  PromptOrder OrderFor(const Request& request, const Upstream& upstream);
+  void PlanParts(const Request& request,
+                 const Upstream& upstream,
+                 PromptOrder& order);
+  std::optional<MonotonicTime> GiveUpTime(const Request& request) const;
+  void EndAttempt(Request& request);
+  void JudgeUpstream(const Request& request, const AttemptEnded& event);
+  Duration PauseAfterRejection(const Request& request,
+                               const Upstream& upstream) const;
+  void AfterNotRun(Request& request, const AttemptEnded& event);
+  void AfterFailure(Request& request, const AttemptEnded& event);
+  /// @return whether another attempt was started
+  bool Retry(Request& request, Counter reason, const std::string& detail);
+  void Refuse(Request& request, RefusalCode code, std::string detail);
+  void SetTimer(Request& request);
+  void Erase(Request& request);
+  Duration RetryAfter(const Request& request) const;
+  void Log(const Request& request,
+           std::string_view event,
+           std::vector<DecisionField> fields) {
+    m_effects.emplace_back(
+        LogDecision{event, request.arrival.caller_id, std::move(fields)});
+  }
+  void LogPlacement(const Request& request,
+                    const Placement& placement,
+                    std::string_view event,
+                    std::string cause);
+
+  State& m_state;
+  MonotonicTime m_now;
+  Effects m_effects;
+};
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_CORE_SRC_FORWARDING_STEPPER_H_
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -333,3 +333,46 @@
   STRCMP_EQUAL(OnlyStart(world.Send("/prompt/")).upstream.c_str(),
                OnlyStart(other.Send("/prompt/")).upstream.c_str());
 }
+
+// Guards against a request that crashes one upstream after another, as it comes
+// again at any daemon.
+TEST(ForwardingStep, ARequestThatCrashedThreeUpstreamsIsRefused) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.AddUpstream("u2", "desk");
+  world.AddUpstream("u3", "desk");
+  for (int crash = 0; crash < 2; ++crash) {
+    world.Send("/once/");
+    const auto shared =
+        EffectsOf<ShareCrash>(world.End(AttemptOutcome::kBroken));
+    UNSIGNED_LONGS_EQUAL(1, shared.size());
+    UNSIGNED_LONGS_EQUAL(0, shared[0].report.fingerprint);
+    world.Apply(UpstreamRemoved{crash == 0 ? "u1" : "u2"});
+    world.Wait(6s);
+    world.Confirm();
+  }
+  // Another daemon met the third crash.
+  const CrashReport report{0, 77};
+  UNSIGNED_LONGS_EQUAL(
+      1, EffectsOf<ShareCrash>(world.Apply(CrashReported{report})).size());
+  const RefuseRequest refusal = OnlyRefusal(world.Send("/once/"));
+  CHECK(Is(RefusalCode::kCrashSuspect, refusal));
+  CHECK(refusal.verdict == Verdict::kNotRun);
+  CHECK(refusal.retry_after.has_value() && *refusal.retry_after > 1min);
+  // What is known already is not told on, or messages would never end.
+  CHECK(EffectsOf<ShareCrash>(world.Apply(CrashReported{report})).empty());
+}
+
+// Guards against a retry of an idempotent request that just crashed its third
+// upstream, and against a status that promises that it has not run.
+TEST(ForwardingStep, ACrashSuspectIsNotRetried) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.AddUpstream("u2", "desk");
+  world.Apply(CrashReported{{0, 77}});
+  world.Apply(CrashReported{{0, 78}});
+  OnlyStart(world.Send("/again/"));
+  const RefuseRequest refusal = OnlyRefusal(world.End(AttemptOutcome::kBroken));
+  CHECK(Is(RefusalCode::kUpstreamFailed, refusal));
+  CHECK(refusal.verdict == Verdict::kMayHaveRun);
+}
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -69,6 +69,55 @@
         options.retry_ratio * kDaemons * kRequestsEach + options.retry_slack);
 }
 
+// Guards against a fleet that is larger than the least number of daemons and
+// uses the slack several times over.
+TEST(ForwardingStructures, ALargeFleetKeepsTheRetryAllowance) {
+  Options options;
+  options.retry_ratio = 0.2;
+  options.retry_slack = 204;
+  constexpr int kDaemons = 82;
+  constexpr int kRequestsEach = 40;
+  int spent = 0;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    RetryAllowance allowance;
+    allowance.SetDaemons(kDaemons);
+    for (int i = 0; i < kRequestsEach; ++i) {
+      allowance.NoteRequest("s", now, options);
+      while (allowance.TrySpend("s", now, options)) {
+        ++spent;
+      }
+    }
+  }
+  CHECK(spent > 0);
+  CHECK(spent <=
+        options.retry_ratio * kDaemons * kRequestsEach + options.retry_slack);
+}
+
+// Guards against refusing requests that only ran beside the cause of a crash,
+// and against counting one crash twice when several daemons tell of it.
+TEST(ForwardingStructures, ThreeDifferentCrashesMakeASuspect) {
+  CrashSuspects suspects;
+  CHECK(suspects.Note({1, 10}, now));
+  CHECK_FALSE(suspects.Note({1, 10}, now));
+  CHECK(suspects.Note({1, 11}, now));
+  CHECK_FALSE(suspects.Refused(1, now));
+  CHECK(suspects.Note({1, 12}, now));
+  CHECK(suspects.Refused(1, now).has_value());
+  CHECK_FALSE(suspects.Refused(2, now));
+  CHECK_FALSE(suspects.Refused(1, now + 1h));
+}
+
+// Guards against memory that grows with each crash.
+TEST(ForwardingStructures, CrashReportsAreBounded) {
+  CrashSuspects suspects;
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    suspects.Note({i, 1}, now + std::chrono::milliseconds(i));
+  }
+  CHECK(suspects.Size() <= 4096);
+  // The latest reports are kept.
+  CHECK_FALSE(suspects.Note({9999, 1}, now));
+}
+
 // Guards against an allowance that never comes back.
 TEST(ForwardingStructures, TheRetryAllowanceSlides) {
   Options options;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -4,12 +4,14 @@
 #include <asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "jasminehatch/detail/base/strong_id.h"
@@ -57,6 +59,11 @@
   /// Takes a caller's request.
   void OnRequest(const std::shared_ptr<net::ServerExchange>& exchange);
 
+  /// Sets what is called for each crash that other daemons should know of.
+  void OnCrash(std::function<void(const forwarding::CrashReport&)> on_crash) {
+    m_on_crash = std::move(on_crash);
+  }
+
   const forwarding::State& State() const { return m_state; }
 
  private:
@@ -83,6 +90,7 @@
   void Execute(const forwarding::CancelAttempt& effect);
   void Execute(const forwarding::DeliverAnswer& effect);
   void Execute(const forwarding::RefuseRequest& effect);
+  void Execute(const forwarding::ShareCrash& effect);
   void Execute(const forwarding::LogDecision& effect);
   void Execute(const CountEvent& effect);
 
@@ -106,6 +114,7 @@
   telemetry::DecisionLog& m_log;
   telemetry::Metrics& m_metrics;
   forwarding::State m_state;
+  std::function<void(const forwarding::CrashReport&)> m_on_crash;
   std::unordered_map<RequestId, Running> m_running;
   asio::steady_timer m_timer;
   std::optional<MonotonicTime> m_timer_at;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -84,6 +85,9 @@
   /// Tells a change of weights at once, and for a while with each message.
   void Announce(const codec::WeightsNews& news);
 
+  /// Tells a crash for a while with each message.
+  void Announce(const forwarding::CrashReport& report);
+
   void Stop();
 
  private:
@@ -103,6 +107,11 @@
     MonotonicTime until{};
   };
 
+  struct PendingCrash {
+    forwarding::CrashReport report;
+    MonotonicTime until{};
+  };
+
   void Register();
   void ReadPeers();
   void AddPeer(const std::string& name,
@@ -130,6 +139,7 @@
   PeerProof m_on_proof;
   std::map<std::string, Peer> m_peers;
   std::vector<PendingNews> m_news;
+  std::deque<PendingCrash> m_crashes;
   std::uint64_t m_sequence = 0;
   std::mt19937_64 m_random{std::random_device{}()};
   bool m_stopped = false;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -377,6 +377,9 @@
           m_configuration.ReadNow();
         }
       });
+  m_host.OnCrash([this](const forwarding::CrashReport& report) {
+    m_gossip->Announce(report);
+  });
   m_rollout.OnNews(
       [this](const codec::WeightsNews& news) { m_gossip->Announce(news); });
 }
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -370,6 +370,12 @@
                   effect.detail));
 }
 
+void ForwardingHost::Execute(const forwarding::ShareCrash& effect) {
+  if (m_on_crash) {
+    m_on_crash(effect.report);
+  }
+}
+
 void ForwardingHost::Execute(const forwarding::LogDecision& effect) {
   std::vector<DecisionLogField> fields{{"request", effect.request}};
   for (const forwarding::DecisionField& field : effect.fields) {
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -36,6 +36,16 @@
 /// News of weights are repeated for this long, since messages may be lost.
 constexpr milliseconds kNewsTime{1000};
 
+/// Crashes that one message tells, and how long each is told. Those who hear of
+/// one tell it on, so that it reaches all daemons also when few hear each
+/// other.
+constexpr std::size_t kCrashesTold = 64;
+constexpr milliseconds kCrashTime{500};
+
+/// A daemon that was heard within this time counts as one that may have used
+/// its part of the fleet's retries.
+constexpr std::chrono::seconds kRecentAge{60};
+
 constexpr milliseconds kRegisterRetry{1000};
 
 }  // namespace
@@ -211,6 +221,9 @@
   }
   m_host.Apply(
       forwarding::PeerLoadReported{message.daemon, std::move(message.shares)});
+  for (const forwarding::CrashReport& report : message.crashes) {
+    m_host.Apply(forwarding::CrashReported{report});
+  }
   for (const codec::WeightsNews& news : message.news) {
     if (!news.loading) {
       m_host.Apply(
@@ -224,12 +237,14 @@
   const MonotonicTime now = m_clock.Now();
   std::vector<const Peer*> near;
   std::vector<const Peer*> far;
+  std::size_t recent = 0;
   for (const auto& [name, peer] : m_peers) {
+    recent += now - peer.heard_at <= kRecentAge ? 1 : 0;
     if (now - peer.heard_at <= kPeerAge) {
       (peer.zone == m_options.zone ? near : far).push_back(&peer);
     }
   }
-  m_host.Apply(forwarding::PeersKnown{near.size() + far.size()});
+  m_host.Apply(forwarding::PeersKnown{near.size() + far.size(), recent});
   if (near.size() + far.size() <= kFanOut) {
     near.insert(near.end(), far.begin(), far.end());
     return near;
@@ -262,6 +277,9 @@
   }
   const MonotonicTime now = m_clock.Now();
   std::erase_if(m_news, [now](const auto& n) { return n.until <= now; });
+  while (!m_crashes.empty() && m_crashes.front().until <= now) {
+    m_crashes.pop_front();
+  }
   codec::GossipMessage message;
   message.daemon = m_options.daemon;
   message.address = m_options.address;
@@ -277,6 +295,9 @@
   for (const PendingNews& pending : m_news) {
     message.news.push_back(pending.news);
   }
+  for (const PendingCrash& pending : m_crashes) {
+    message.crashes.push_back(pending.report);
+  }
   message.sent_ms = static_cast<std::uint64_t>(
       std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
   if (const auto proof = m_own_proof ? m_own_proof() : std::nullopt) {
@@ -301,6 +322,13 @@
   Send();
 }
 
+void PeerGossip::Announce(const forwarding::CrashReport& report) {
+  if (m_crashes.size() >= kCrashesTold) {
+    m_crashes.pop_front();
+  }
+  m_crashes.push_back({report, m_clock.Now() + kCrashTime});
+}
+
 void PeerGossip::Arm() {
   m_send_timer.expires_after(kSendInterval);
   m_send_timer.async_wait([this](const asio::error_code& error) {
