Log each answer with its times; learn how soon upstreams forget idle connections

An idle connection that breaks at its next call shortens the rest after which connections are reused, for half a minute.

--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -82,6 +82,7 @@
     codec::EventSplitter splitter;
     std::string last_event;
     MonotonicTime received_at{};
+    MonotonicTime first_event_at{};  ///< When it was passed on; see `begun`.
     bool streaming = false;  ///< The answer is passed on event by event.
     bool begun = false;      ///< The caller has the head of the answer.
   };
@@ -106,6 +107,7 @@
   void EndAttempt(RequestId id,
                   forwarding::AttemptOutcome outcome,
                   std::string detail);
+  void LogAnswer(const Running& running);
   Running* Find(RequestId id, AttemptId attempt);
   void ArmTimer();
 
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -148,7 +148,17 @@
   const std::array fields{DecisionLogField{"store", m_address},
                           DecisionLogField{"parts", count}};
   m_log.Write(DecisionLog::Level::kState, "cache_parts_freed", fields);
-  m_engines.FreeParts(m_address, m_epoch, m_clock_ms + kFreeTimeMs, unused);
+  // Some events never arrive, so that a free is not left to them alone.
+  forwarding::CacheChanged freed{m_address, m_epoch, {}};
+  for (const forwarding::CachedPart& part : unused) {
+    freed.changes.push_back({false, part});
+  }
+  m_engines.FreeParts(m_address, m_epoch, m_clock_ms + kFreeTimeMs, unused,
+                      [this, alive = std::weak_ptr<int>(m_alive), freed] {
+                        if (!alive.expired()) {
+                          m_host.Apply(freed);
+                        }
+                      });
   m_unused_since = now - kFreeDelay;
 }
 
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -240,6 +240,7 @@
   }
   if (!running.begun) {
     running.begun = true;
+    running.first_event_at = m_clock.Now();
     running.exchange->BeginStream(
         running.head.status, platform::CallerHeaders(running.head.headers));
     m_metrics.Observe(telemetry::Latency::kTimeToFirstToken,
@@ -329,6 +330,23 @@
   }
 }
 
+void ForwardingHost::LogAnswer(const Running& running) {
+  const auto age = [&](MonotonicTime at) {
+    return std::to_string((at - running.received_at) /
+                          std::chrono::milliseconds(1));
+  };
+  const MonotonicTime now = m_clock.Now();
+  const std::string status = std::to_string(running.head.status);
+  const std::string first = age(running.begun ? running.first_event_at : now);
+  const std::string total = age(now);
+  const std::array fields{DecisionLogField{"request", running.caller_id},
+                          DecisionLogField{"upstream", running.upstream},
+                          DecisionLogField{"status", status},
+                          DecisionLogField{"first_ms", first},
+                          DecisionLogField{"total_ms", total}};
+  m_log.Write(DecisionLog::Level::kRoutine, "answered", fields);
+}
+
 void ForwardingHost::Execute(const forwarding::DeliverAnswer& effect) {
   const auto node = m_running.extract(effect.request);
   if (node.empty()) {
@@ -336,6 +354,7 @@
   }
   const Running& running = node.mapped();
   m_metrics.CountAnswer();
+  LogAnswer(running);
   if (running.begun) {
     running.exchange->End();
     return;
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -40,6 +40,13 @@
   return text;
 }
 
+/// An idle connection that breaks at its next call after at least this rest was
+/// probably forgotten by the upstream before.
+constexpr std::chrono::milliseconds kLeastForgottenRest{150};
+
+/// How long idle connections are kept shorter after that.
+constexpr std::chrono::seconds kForgottenMemory{30};
+
 /// @return the idle time that a `Keep-Alive: timeout=N` header allows
 std::chrono::milliseconds KeepAliveTime(const HttpHeaders& headers,
                                         std::chrono::milliseconds longest) {
@@ -77,7 +84,10 @@
     MessageParser parser{HTTP_RESPONSE};
     std::array<char, 16384> buffer{};
     std::uint64_t call = 0;  ///< 0 while idle.
+    Time idle_since{};
     Time idle_until{};
+    /// How long it was idle before the present call; zero when it is new.
+    std::chrono::steady_clock::duration rested{};
     bool reading = false;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -113,6 +123,11 @@
   void KeepIdle(const ConnectionPtr& connection,
                 std::chrono::milliseconds keep);
   static void Close(const ConnectionPtr& connection);
+  /// @return whether an idle connection is not older than those that upstreams
+  /// were lately seen to forget
+  bool RestedLittle(const Connection& connection, Time now) const;
+  /// Learns how soon upstreams forget idle connections.
+  void NoteForgotten(const Connection& connection);
   CallPtr Find(CallId id) const {
     const auto found = m_calls.find(id);
     return found == m_calls.end() ? nullptr : found->second;
@@ -123,6 +138,8 @@
   std::unordered_map<CallId, CallPtr> m_calls;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> m_idle;
   CallId m_next_id = 1;
+  std::chrono::steady_clock::duration m_forgotten_after{};
+  Time m_forgotten_until{};  ///< When `m_forgotten_after` ends to hold.
 };
 
 StreamClient::CallId StreamClient::Impl::Start(StreamCall request,
@@ -161,7 +178,9 @@
   while (!connections.empty()) {
     ConnectionPtr connection = std::move(connections.back());
     connections.pop_back();
-    if (connection->socket.is_open() && connection->idle_until > now) {
+    if (connection->socket.is_open() && connection->idle_until > now &&
+        RestedLittle(*connection, now)) {
+      connection->rested = now - connection->idle_since;
       return connection;
     }
     Close(connection);
@@ -170,6 +189,21 @@
   return nullptr;
 }
 
+bool StreamClient::Impl::RestedLittle(const Connection& connection,
+                                      Time now) const {
+  return now > m_forgotten_until ||
+         now - connection.idle_since < m_forgotten_after;
+}
+
+void StreamClient::Impl::NoteForgotten(const Connection& connection) {
+  // Shorter rests are more likely broken by a crash than forgotten.
+  if (connection.rested < kLeastForgottenRest) {
+    return;
+  }
+  m_forgotten_after = connection.rested * 7 / 10;
+  m_forgotten_until = std::chrono::steady_clock::now() + kForgottenMemory;
+}
+
 void StreamClient::Impl::Connect(CallId id, const CallPtr& call) {
   const auto address = ParseIpPort(call->request.address);
   if (!address || address->port == 0) {
@@ -266,6 +300,9 @@
       Complete(connection, false);
       return;
     }
+    if (!call->head_received) {
+      NoteForgotten(*connection);
+    }
     Finish(id, StreamEnd::Kind::kBroken, error.message());
     return;
   }
@@ -354,7 +391,8 @@
     return;
   }
   connection->call = 0;
-  connection->idle_until = std::chrono::steady_clock::now() + keep;
+  connection->idle_since = std::chrono::steady_clock::now();
+  connection->idle_until = connection->idle_since + keep;
   connections.push_back(connection);
   Read(connection);
 }
--- a/packages/net/tests/stream_test.cc
+++ b/packages/net/tests/stream_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -58,6 +59,9 @@
   /// Bytes of the request after which it answers; 0 for the end of the head.
   void AnswerAfter(std::size_t bytes) { m_answer_after = bytes; }
 
+  /// Resets each connection at its second request, as if it was forgotten.
+  void ForgetIdleConnections() { m_forgets = true; }
+
   std::size_t Connections() const { return m_sockets.size(); }
   std::size_t Requests() const { return m_requests; }
 
@@ -88,8 +92,13 @@
           const bool whole = m_answer_after > 0
                                  ? got->size() >= m_answer_after
                                  : got->find("\r\n\r\n") != std::string::npos;
-          if (whole) {
+          if (whole && m_forgets && m_answered.contains(socket.get())) {
+            asio::error_code ignored;
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+          } else if (whole) {
             got->clear();
+            m_answered.insert(socket.get());
             Answer(*socket);
           }
           if (socket->is_open()) {
@@ -116,6 +125,8 @@
   std::size_t m_answer_after = 0;
   std::size_t m_requests = 0;
   std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+  bool m_forgets = false;
+  std::set<const tcp::socket*> m_answered;
 };
 
 /// @brief What a call of StreamClient led to.
@@ -280,6 +291,28 @@
   UNSIGNED_LONGS_EQUAL(1, upstream.Requests());
 }
 
+// Guards against requests that are lost, one after another, on connections
+// which an upstream drops without a notice while they rest.
+TEST(Stream, LearnsThatIdleConnectionsAreForgotten) {
+  asio::io_context loop;
+  RawUpstream upstream(loop, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na",
+                       RawUpstream::After::kKeep);
+  upstream.ForgetIdleConnections();
+  StreamClient client(loop, {});
+  const auto call = [&] {
+    const auto outcome = Call(client, upstream.Address(), "booking");
+    CHECK(RunUntil(loop, [&] { return outcome->ended; }));
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(200));
+    return outcome->end.kind;
+  };
+  CHECK(call() == StreamEnd::Kind::kComplete);
+  CHECK(call() == StreamEnd::Kind::kBroken);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(call() == StreamEnd::Kind::kComplete);
+  }
+}
+
 // Guards against the next request in the place of the rest of a long body.
 TEST(Stream, AnEarlyAnswerEndsTheConnection) {
   asio::io_context loop;
