Tell other zones the load of the whole zone

With 82 daemons each one hears its own zone but only nine of sixty others within the age of a report, and the known number of those was short as well. Messages that go far now carry the sum of the zone, every second turn.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -36,6 +36,7 @@
   /// Age of its proof that no later record exists; nothing without one.
   std::optional<std::uint64_t> proof_age_ms;
   std::vector<forwarding::UpstreamShare> shares;
+  bool whole_zone = false;  ///< `shares` are those of all daemons of `zone`.
   std::vector<WeightsNews> news;
   std::vector<forwarding::CrashReport> crashes;
 
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -44,7 +44,7 @@
       {kFormat, daemon, address, zone, incarnation, sequence,
        std::move(encoded_shares), std::move(encoded_news), sent_ms, echo_ms,
        operator_end, proof_age_ms ? json(*proof_age_ms) : json(),
-       std::move(encoded_crashes)});
+       std::move(encoded_crashes), whole_zone});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -78,6 +78,7 @@
       decoded.crashes.push_back(
           {entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>()});
     }
+    decoded.whole_zone = message.at(13).get<bool>();
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -54,6 +54,7 @@
   message.shares = {{11, 12, 13}};
   message.news = {{"u", "m", 14, true}};
   message.crashes = {{15, 16}};
+  message.whole_zone = true;
   const auto decoded = GossipMessage::Decode(message.Encode());
   STRCMP_EQUAL("e1", decoded.daemon.c_str());
   STRCMP_EQUAL("10.0.0.1:7700", decoded.address.c_str());
@@ -67,6 +68,7 @@
   UNSIGNED_LONGS_EQUAL(13, decoded.shares.at(0).tokens);
   UNSIGNED_LONGS_EQUAL(14, decoded.news.at(0).version);
   CHECK(decoded.news.at(0).loading);
+  CHECK(decoded.whole_zone);
   CHECK(decoded.crashes.at(0) == (forwarding::CrashReport{15, 16}));
   message.proof_age_ms.reset();
   CHECK_FALSE(GossipMessage::Decode(message.Encode()).proof_age_ms);
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -151,7 +151,7 @@
 
 /// How many other daemons there are.
 struct PeersKnown {
-  std::size_t count = 0;   ///< Those that are thought to live.
+  std::size_t count = 0;   ///< Live ones that report their load one by one.
   std::size_t recent = 0;  ///< Those that lived lately, dead ones included.
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/fleet_load.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/fleet_load.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,12 +23,16 @@
 struct PeerLoadReported {
   std::string peer;
   std::vector<UpstreamShare> shares;  ///< Upstreams without load are left out.
+  /// The peer's availability zone, when the shares are those of all its
+  /// daemons; else empty.
+  std::string whole_zone;
 };
 
 /// @brief What the other daemons have in flight at each upstream.
 ///
-/// Daemons hear from a sample of the others in a large fleet; what was not
-/// heard is estimated from what was.
+/// In a large fleet, daemons hear from those of their own zone one by one, and
+/// from other zones as a whole; daemons that were not heard are estimated from
+/// those that were.
 class FleetLoad {
  public:
   /// @return a short name of an upstream, equal on all daemons
@@ -35,9 +40,13 @@
 
   void Apply(const PeerLoadReported& event, MonotonicTime now);
 
-  /// Sets the number of other daemons that are thought to live.
+  /// Sets how many live daemons report one by one.
   void SetPeers(std::size_t peers) { m_peer_count = peers; }
 
+  /// @return what all daemons have that report one by one, with `own` added
+  std::vector<UpstreamShare> ZoneShares(std::span<const UpstreamShare> own,
+                                        MonotonicTime now);
+
   /// @return what the other daemons have at an upstream
   UpstreamShare Of(std::uint32_t upstream, MonotonicTime now);
 
@@ -50,12 +59,15 @@
     std::vector<UpstreamShare> shares;
   };
 
+  using Totals = std::unordered_map<std::uint32_t, UpstreamShare>;
+
   void Refresh(MonotonicTime now);
 
   std::unordered_map<std::string, Peer> m_peers;
-  std::unordered_map<std::uint32_t, UpstreamShare> m_totals;
+  std::unordered_map<std::string, Peer> m_zones;  ///< Newest report of each.
+  Totals m_near;   ///< Of daemons that report one by one, scaled.
+  Totals m_total;  ///< With the other zones.
   std::size_t m_peer_count = 0;
-  double m_scale = 1;
   MonotonicTime m_refreshed_at{};
   bool m_changed = true;
 };
--- a/packages/core/src/forwarding/fleet_load.cc
+++ b/packages/core/src/forwarding/fleet_load.cc
@@ -1,7 +1,7 @@
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 
-#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include "jasminehatch/detail/forwarding/stable_hash.h"
@@ -15,6 +15,22 @@
 /// Old reports are looked for this often.
 constexpr std::chrono::milliseconds kRefreshInterval{200};
 
+template <typename Number>
+Number Scaled(Number value, double scale) {
+  return static_cast<Number>(std::llround(static_cast<double>(value) * scale));
+}
+
+/// Adds shares to totals by upstream.
+void Add(std::span<const UpstreamShare> shares,
+         std::unordered_map<std::uint32_t, UpstreamShare>& totals) {
+  for (const UpstreamShare& share : shares) {
+    UpstreamShare& total = totals[share.upstream];
+    total.upstream = share.upstream;
+    total.in_flight += share.in_flight;
+    total.tokens += share.tokens;
+  }
+}
+
 }  // namespace
 
 std::uint32_t FleetLoad::NameOf(const std::string& upstream) {
@@ -22,7 +38,11 @@
 }
 
 void FleetLoad::Apply(const PeerLoadReported& event, MonotonicTime now) {
-  m_peers.insert_or_assign(event.peer, Peer{now, event.shares});
+  if (event.whole_zone.empty()) {
+    m_peers.insert_or_assign(event.peer, Peer{now, event.shares});
+  } else {
+    m_zones.insert_or_assign(event.whole_zone, Peer{now, event.shares});
+  }
   m_changed = true;
 }
 
@@ -32,39 +52,52 @@
   }
   m_changed = false;
   m_refreshed_at = now;
-  std::erase_if(m_peers, [now](const auto& entry) {
+  const auto old = [now](const auto& entry) {
     return now - entry.second.at > kReportAge;
-  });
-  m_totals.clear();
+  };
+  std::erase_if(m_peers, old);
+  std::erase_if(m_zones, old);
+  m_near.clear();
   for (const auto& [name, peer] : m_peers) {
-    for (const UpstreamShare& share : peer.shares) {
-      UpstreamShare& total = m_totals[share.upstream];
-      total.upstream = share.upstream;
-      total.in_flight += share.in_flight;
-      total.tokens += share.tokens;
+    Add(peer.shares, m_near);
+  }
+  if (!m_peers.empty() && m_peer_count > m_peers.size()) {
+    const double scale =
+        static_cast<double>(m_peer_count) / static_cast<double>(m_peers.size());
+    for (auto& [upstream, share] : m_near) {
+      share.in_flight = Scaled(share.in_flight, scale);
+      share.tokens = Scaled(share.tokens, scale);
     }
   }
-  const auto heard = static_cast<double>(m_peers.size());
-  m_scale = m_peers.empty()
-                ? 1
-                : std::max(1.0, static_cast<double>(m_peer_count) / heard);
+  m_total = m_near;
+  for (const auto& [zone, report] : m_zones) {
+    Add(report.shares, m_total);
+  }
 }
 
-UpstreamShare FleetLoad::Of(std::uint32_t upstream, MonotonicTime now) {
+std::vector<UpstreamShare> FleetLoad::ZoneShares(
+    std::span<const UpstreamShare> own,
+    MonotonicTime now) {
   Refresh(now);
-  const auto found = m_totals.find(upstream);
-  if (found == m_totals.end()) {
-    return {upstream, 0, 0};
+  Totals totals = m_near;
+  Add(own, totals);
+  std::vector<UpstreamShare> shares;
+  shares.reserve(totals.size());
+  for (const auto& [upstream, share] : totals) {
+    shares.push_back(share);
   }
-  const UpstreamShare& total = found->second;
-  return {
-      upstream, static_cast<std::uint32_t>(m_scale * total.in_flight),
-      static_cast<std::uint64_t>(m_scale * static_cast<double>(total.tokens))};
+  return shares;
+}
+
+UpstreamShare FleetLoad::Of(std::uint32_t upstream, MonotonicTime now) {
+  Refresh(now);
+  const auto found = m_total.find(upstream);
+  return found == m_total.end() ? UpstreamShare{upstream, 0, 0} : found->second;
 }
 
 bool FleetLoad::Heard(MonotonicTime now) {
   Refresh(now);
-  return !m_peers.empty();
+  return !m_peers.empty() || !m_zones.empty();
 }
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -311,7 +311,7 @@
   const std::string chosen = OnlyStart(world.Send("/prompt/")).upstream;
   world.Apply(PeersKnown{1});
   world.Apply(
-      PeerLoadReported{"peer", {{FleetLoad::NameOf(chosen), 7, 9'000}}});
+      PeerLoadReported{"peer", {{FleetLoad::NameOf(chosen), 7, 9'000}}, ""});
   CHECK(OnlyStart(world.Send("/prompt/")).upstream != chosen);
   world.Wait(2s);
   world.Confirm();
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -180,7 +180,7 @@
   FleetLoad fleet;
   fleet.SetPeers(10);
   for (const char* peer : {"p1", "p2"}) {
-    fleet.Apply(PeerLoadReported{peer, {{5, 2, 1'000}}}, now);
+    fleet.Apply(PeerLoadReported{peer, {{5, 2, 1'000}}, ""}, now);
   }
   UNSIGNED_LONGS_EQUAL(20, fleet.Of(5, now).in_flight);
   UNSIGNED_LONGS_EQUAL(10'000, fleet.Of(5, now).tokens);
@@ -188,6 +188,28 @@
   UNSIGNED_LONGS_EQUAL(0, fleet.Of(5, now + 5s).in_flight);
 }
 
+// Guards against a load that seems half of what it is in a fleet of many zones,
+// since daemons of other zones are seldom heard one by one.
+TEST(ForwardingStructures, OtherZonesReportAsAWhole) {
+  FleetLoad fleet;
+  fleet.SetPeers(2);
+  fleet.Apply(PeerLoadReported{"near-1", {{5, 2, 1'000}}, ""}, now);
+  fleet.Apply(PeerLoadReported{"near-2", {{5, 2, 1'000}}, ""}, now);
+  fleet.Apply(PeerLoadReported{"far-1", {{5, 40, 20'000}}, "b"}, now);
+  fleet.Apply(PeerLoadReported{"far-2", {{5, 50, 30'000}}, "b"}, now + 10ms);
+  fleet.Apply(PeerLoadReported{"far-3", {{5, 7, 7'000}}, "c"}, now + 10ms);
+  // The newest report of a zone replaces the one before.
+  UNSIGNED_LONGS_EQUAL(4 + 50 + 7, fleet.Of(5, now + 10ms).in_flight);
+  UNSIGNED_LONGS_EQUAL(39'000, fleet.Of(5, now + 10ms).tokens);
+  // What is told on of the own zone leaves out the others.
+  const std::vector<UpstreamShare> own{{5, 1, 100}, {6, 3, 300}};
+  std::uint32_t in_flight = 0;
+  for (const UpstreamShare& share : fleet.ZoneShares(own, now + 10ms)) {
+    in_flight += share.in_flight;
+  }
+  UNSIGNED_LONGS_EQUAL(4 + 1 + 3, in_flight);
+}
+
 // Guards against a new start of an upstream that keeps what the start before it
 // was known for.
 TEST(ForwardingStructures, ANewStartKnowsNothingOfBefore) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -66,6 +67,10 @@
 
   const forwarding::State& State() const { return m_state; }
 
+  /// @return what the daemons of this zone have in flight at each upstream
+  std::vector<forwarding::UpstreamShare> ZoneShares(
+      std::span<const forwarding::UpstreamShare> own);
+
  private:
   /// A request in progress, as far as connections are concerned.
   struct Running {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -120,9 +120,17 @@
                std::uint64_t incarnation);
   void Receive();
   void OnMessage(std::string_view data);
+  /// @brief Who gets the next messages.
+  struct Receivers {
+    std::vector<const Peer*> single;  ///< Get this daemon's own load.
+    std::vector<const Peer*> whole;   ///< Get the load of its whole zone.
+  };
+
   void Send();
-  void SendTo(const std::vector<const Peer*>& peers);
-  std::vector<const Peer*> ChoosePeers();
+  void SendTo(const std::vector<const Peer*>& peers,
+              codec::GossipMessage& message);
+  Receivers ChoosePeers();
+  codec::GossipMessage MakeMessage();
   void Arm();
 
   const Clock& m_clock;
@@ -141,6 +149,7 @@
   std::vector<PendingNews> m_news;
   std::deque<PendingCrash> m_crashes;
   std::uint64_t m_sequence = 0;
+  std::uint64_t m_turn = 0;
   std::mt19937_64 m_random{std::random_device{}()};
   bool m_stopped = false;
 };
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -77,6 +77,11 @@
   ArmTimer();
 }
 
+std::vector<forwarding::UpstreamShare> ForwardingHost::ZoneShares(
+    std::span<const forwarding::UpstreamShare> own) {
+  return m_state.fleet.ZoneShares(own, m_clock.Now());
+}
+
 void ForwardingHost::ArmTimer() {
   const auto next = m_state.NextTimer();
   if (!next || (m_timer_at && *m_timer_at <= *next)) {
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -23,10 +23,14 @@
 
 constexpr milliseconds kSendInterval{100};
 
-/// Most daemons that one message goes to; in a larger fleet each one hears
-/// from a changing sample of the others.
+/// Most daemons that one message goes to; in a larger fleet it is a changing
+/// sample of those in the own zone.
 constexpr std::size_t kFanOut = 8;
 
+/// In a large fleet, one message in this many turns goes to another zone, where
+/// bytes are dear. It tells the load of the whole zone.
+constexpr std::uint64_t kFarTurns = 2;
+
 /// A daemon that was not heard for this long gets no messages.
 constexpr milliseconds kPeerAge{6000};
 
@@ -219,8 +223,9 @@
                     milliseconds(*message.proof_age_ms);
     m_on_proof({message.operator_end, at});
   }
-  m_host.Apply(
-      forwarding::PeerLoadReported{message.daemon, std::move(message.shares)});
+  m_host.Apply(forwarding::PeerLoadReported{
+      message.daemon, std::move(message.shares),
+      message.whole_zone ? message.zone : std::string()});
   for (const forwarding::CrashReport& report : message.crashes) {
     m_host.Apply(forwarding::CrashReported{report});
   }
@@ -233,7 +238,7 @@
   }
 }
 
-std::vector<const PeerGossip::Peer*> PeerGossip::ChoosePeers() {
+PeerGossip::Receivers PeerGossip::ChoosePeers() {
   const MonotonicTime now = m_clock.Now();
   std::vector<const Peer*> near;
   std::vector<const Peer*> far;
@@ -244,19 +249,18 @@
       (peer.zone == m_options.zone ? near : far).push_back(&peer);
     }
   }
-  m_host.Apply(forwarding::PeersKnown{near.size() + far.size(), recent});
   if (near.size() + far.size() <= kFanOut) {
+    m_host.Apply(forwarding::PeersKnown{near.size() + far.size(), recent});
     near.insert(near.end(), far.begin(), far.end());
-    return near;
+    return {std::move(near), {}};
   }
-  // Bytes between zones are dear: in a large fleet one message goes far.
+  m_host.Apply(forwarding::PeersKnown{near.size(), recent});
   std::shuffle(near.begin(), near.end(), m_random);
   std::shuffle(far.begin(), far.end(), m_random);
   near.resize(std::min(near.size(), kFanOut - 1));
-  near.insert(near.end(), far.begin(),
-              far.begin() + static_cast<std::ptrdiff_t>(
-                                std::min<std::size_t>(far.size(), 1)));
-  return near;
+  const bool goes_far = ++m_turn % kFarTurns == 0;
+  far.resize(std::min<std::size_t>(far.size(), goes_far ? 1 : 0));
+  return {std::move(near), std::move(far)};
 }
 
 std::size_t PeerGossip::LivePeers() const {
@@ -268,13 +272,20 @@
 }
 
 void PeerGossip::Send() {
-  SendTo(ChoosePeers());
-}
-
-void PeerGossip::SendTo(const std::vector<const Peer*>& peers) {
-  if (peers.empty()) {
+  const Receivers receivers = ChoosePeers();
+  if (receivers.single.empty() && receivers.whole.empty()) {
     return;
   }
+  codec::GossipMessage message = MakeMessage();
+  SendTo(receivers.single, message);
+  if (!receivers.whole.empty()) {
+    message.shares = m_host.ZoneShares(message.shares);
+    message.whole_zone = true;
+    SendTo(receivers.whole, message);
+  }
+}
+
+codec::GossipMessage PeerGossip::MakeMessage() {
   const MonotonicTime now = m_clock.Now();
   std::erase_if(m_news, [now](const auto& n) { return n.until <= now; });
   while (!m_crashes.empty() && m_crashes.front().until <= now) {
@@ -285,7 +296,6 @@
   message.address = m_options.address;
   message.zone = m_options.zone;
   message.incarnation = m_options.incarnation;
-  message.sequence = ++m_sequence;
   for (const auto& [id, upstream] : m_host.State().upstreams.All()) {
     if (upstream->in_flight > 0) {
       message.shares.push_back({forwarding::FleetLoad::NameOf(id),
@@ -305,6 +315,12 @@
     message.proof_age_ms = static_cast<std::uint64_t>(
         std::chrono::ceil<milliseconds>(now - proof->at).count());
   }
+  return message;
+}
+
+void PeerGossip::SendTo(const std::vector<const Peer*>& peers,
+                        codec::GossipMessage& message) {
+  message.sequence = ++m_sequence;
   for (const Peer* peer : peers) {
     message.echo_ms = peer->sent_ms;
     const std::string bytes = message.Encode();
--- a/tests/process/process.cc
+++ b/packages/testing/src/process.cc
@@ -1,4 +1,4 @@
-#include "process.h"
+#include "jasminehatch/detail/testing/process.h"
 
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -9,14 +9,11 @@
 #include <csignal>
 #include <stdexcept>
 
-namespace jasminehatch::test {
+namespace jasminehatch::testing {
 
-Process::Process(std::vector<std::string> command,
-                 const std::string& log_file) {
-  std::array<int, 2> output{};
-  if (pipe2(output.data(), O_CLOEXEC) != 0) {
-    throw std::runtime_error("cannot make a pipe");
-  }
+void Process::Launch(std::vector<std::string>& command,
+                     const std::string& log_file,
+                     int output) {
   std::vector<char*> arguments;
   arguments.reserve(command.size() + 1);
   for (std::string& argument : command) {
@@ -27,12 +24,21 @@
   if (m_pid == 0) {
     // A test that dies leaves no process behind.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    dup2(output[1], STDOUT_FILENO);
     const int log = open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(output < 0 ? log : output, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execv(arguments[0], arguments.data());
     _exit(127);
   }
+}
+
+Process::Process(std::vector<std::string> command,
+                 const std::string& log_file) {
+  std::array<int, 2> output{};
+  if (pipe2(output.data(), O_CLOEXEC) != 0) {
+    throw std::runtime_error("cannot make a pipe");
+  }
+  Launch(command, log_file, output[1]);
   close(output[1]);
   std::string line;
   char c = 0;
@@ -48,6 +54,20 @@
   m_port = static_cast<std::uint16_t>(std::stoi(line.substr(kPrefix.size())));
 }
 
+std::unique_ptr<Process> Process::Start(std::vector<std::string> command,
+                                        const std::string& log_file) {
+  std::unique_ptr<Process> process(new Process());
+  process->Launch(command, log_file, -1);
+  return process;
+}
+
+bool Process::Ended() {
+  if (m_pid > 0 && waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+    m_pid = -1;
+  }
+  return m_pid < 0;
+}
+
 Process::~Process() {
   Kill();
 }
@@ -70,4 +90,4 @@
   }
 }
 
-}  // namespace jasminehatch::test
+}  // namespace jasminehatch::testing
--- a/tests/process/mixed_fault_run.cc
+++ b/tests/process/mixed_fault_run.cc
@@ -75,10 +75,10 @@
 void MixedFaultRun::StartFleet() {
   const std::string emulator = m_options.bin_dir + "/jasminehatch_emulator";
   const std::string seed = "--seed=" + std::to_string(m_options.seed);
-  m_log = std::make_unique<Process>(
+  m_log = std::make_unique<testing::Process>(
       std::vector<std::string>{emulator, "--role=log", seed},
       m_options.work_dir + "/log.err");
-  m_service = std::make_unique<Process>(
+  m_service = std::make_unique<testing::Process>(
       std::vector<std::string>{emulator, "--role=service", seed},
       m_options.work_dir + "/service.err");
   m_engines.resize(kEngineCount);
@@ -115,7 +115,7 @@
 }
 
 void MixedFaultRun::StartEngine(std::size_t index, std::uint16_t port) {
-  m_engines[index] = std::make_unique<Process>(
+  m_engines[index] = std::make_unique<testing::Process>(
       std::vector<std::string>{
           m_options.bin_dir + "/jasminehatch_emulator", "--role=engine",
           "--seed=" + std::to_string(m_options.seed + index),
@@ -132,7 +132,7 @@
                       << "\n[upstreams]\nload_interval = 50ms\n"
                          "[routing]\nretry_share = 1\n"
                          "[bookings]\nclaim_time = 1s\noutcome_wait = 1s\n";
-  m_daemons[index].process = std::make_unique<Process>(
+  m_daemons[index].process = std::make_unique<testing::Process>(
       std::vector<std::string>{m_options.bin_dir + "/jasminehatchd",
                                "--settings", file},
       m_options.work_dir + "/" + name + ".err");
--- a/tests/process/mixed_fault_run.h
+++ b/tests/process/mixed_fault_run.h
@@ -17,7 +17,7 @@
 #include <string_view>
 #include <vector>
 
-#include "process.h"
+#include "jasminehatch/detail/testing/process.h"
 
 namespace jasminehatch::test {
 
@@ -49,7 +49,7 @@
 
   /// A daemon and how often it was killed.
   struct Entry {
-    std::unique_ptr<Process> process;
+    std::unique_ptr<testing::Process> process;
     std::uint64_t kills = 0;
   };
 
@@ -104,9 +104,9 @@
   net::HttpClient m_client{m_loop};
   asio::steady_timer m_timer{m_loop};
   std::chrono::steady_clock::time_point m_next_arrival;
-  std::unique_ptr<Process> m_log;
-  std::unique_ptr<Process> m_service;
-  std::vector<std::unique_ptr<Process>> m_engines;
+  std::unique_ptr<testing::Process> m_log;
+  std::unique_ptr<testing::Process> m_service;
+  std::vector<std::unique_ptr<testing::Process>> m_engines;
   std::vector<Entry> m_daemons;
   std::vector<std::string> m_contexts;  ///< Of prompts that can return.
   std::map<std::string, Booking> m_bookings;
