Add a fault soak of the forwarding daemons as processes; keep zone reports longer

The soak runs real daemons against stand-ins of the platform's store and of upstreams, with faults from a seed: links through a loopback proxy, signals, the store, upstreams, keys. A zone that was not heard for 0.9 s counted without load, about a fifth of the time; its report now holds for 2.5 s.

--- a/packages/core/src/forwarding/fleet_load.cc
+++ b/packages/core/src/forwarding/fleet_load.cc
@@ -12,6 +12,10 @@
 /// Reports that are older say nothing: their daemon is gone or cut off.
 constexpr std::chrono::milliseconds kReportAge{900};
 
+/// Reports of a whole zone come less often; a zone without one would seem to
+/// have no load.
+constexpr std::chrono::milliseconds kZoneReportAge{2500};
+
 /// Old reports are looked for this often.
 constexpr std::chrono::milliseconds kRefreshInterval{200};
 
@@ -52,11 +56,12 @@
   }
   m_changed = false;
   m_refreshed_at = now;
-  const auto old = [now](const auto& entry) {
+  std::erase_if(m_peers, [now](const auto& entry) {
     return now - entry.second.at > kReportAge;
-  };
-  std::erase_if(m_peers, old);
-  std::erase_if(m_zones, old);
+  });
+  std::erase_if(m_zones, [now](const auto& entry) {
+    return now - entry.second.at > kZoneReportAge;
+  });
   m_near.clear();
   for (const auto& [name, peer] : m_peers) {
     Add(peer.shares, m_near);
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -201,10 +201,15 @@
   // The newest report of a zone replaces the one before.
   UNSIGNED_LONGS_EQUAL(4 + 50 + 7, fleet.Of(5, now + 10ms).in_flight);
   UNSIGNED_LONGS_EQUAL(39'000, fleet.Of(5, now + 10ms).tokens);
+  // A zone that was not heard for a second still has its load.
+  UNSIGNED_LONGS_EQUAL(50 + 7, fleet.Of(5, now + 1200ms).in_flight);
+  CHECK_FALSE(fleet.Heard(now + 3s));
+  fleet.Apply(PeerLoadReported{"near-1", {{5, 2, 1'000}}, ""}, now + 3s);
+  fleet.Apply(PeerLoadReported{"near-2", {{5, 2, 1'000}}, ""}, now + 3s);
   // What is told on of the own zone leaves out the others.
   const std::vector<UpstreamShare> own{{5, 1, 100}, {6, 3, 300}};
   std::uint32_t in_flight = 0;
-  for (const UpstreamShare& share : fleet.ZoneShares(own, now + 10ms)) {
+  for (const UpstreamShare& share : fleet.ZoneShares(own, now + 3s)) {
     in_flight += share.in_flight;
   }
   UNSIGNED_LONGS_EQUAL(4 + 1 + 3, in_flight);
--- /dev/null
+++ b/packages/soak/include/jasminehatch/detail/soak/promise_checker.h
@@ -0,0 +1,130 @@
+#ifndef JASMINEHATCH_DETAIL_SOAK_PROMISE_CHECKER_H_
+#define JASMINEHATCH_DETAIL_SOAK_PROMISE_CHECKER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jasminehatch/detail/base/time.h"
+
+namespace jasminehatch::soak {
+
+/// @brief How often a request may run.
+enum class RequestKind { kOnce, kIdempotent, kStream };
+
+/// @brief What a caller got.
+struct CallerView {
+  int status = 0;  ///< 0 when no head arrived.
+  std::string signature;
+  std::string body;
+  bool complete = false;  ///< The answer ended as a whole one.
+};
+
+/// @brief Checks what callers and upstreams see against what the system
+/// promises to both. Free of network and clock.
+class PromiseChecker {
+ public:
+  struct Options {
+    Duration revoke_limit = std::chrono::milliseconds(2500);
+    double retry_ratio = 0.2;
+    double retry_slack = 50;
+    Duration retry_window = std::chrono::seconds(10);
+    /// Allowance for the time between an event and its being seen here.
+    Duration slack = std::chrono::milliseconds(300);
+    std::size_t stream_events = 5;
+  };
+
+  explicit PromiseChecker(const Options& options) : m_options(options) {}
+
+  void OnSent(const std::string& request,
+              RequestKind kind,
+              const std::string& key,
+              MonotonicTime now);
+
+  /// An upstream got a request, whether it ran it or not.
+  void OnArrived(const std::string& request, MonotonicTime now);
+
+  /// An upstream began to run a request.
+  /// @param signature that it answers with
+  /// @param workspace that it was told
+  /// @param shown_key key that it was told, which must be none
+  void OnRan(const std::string& request,
+             const std::string& signature,
+             const std::string& workspace,
+             const std::string& shown_key,
+             MonotonicTime now);
+
+  void OnAnswered(const std::string& request, const CallerView& view);
+
+  /// The connection of a request ended without an answer.
+  /// @param disturbed its daemon was killed or stood still meanwhile
+  void OnNoAnswer(const std::string& request, bool disturbed);
+
+  /// A request had no end long after its deadline.
+  void OnOverdue(const std::string& request, bool disturbed);
+
+  /// The workspace holds the key from now on.
+  void OnKeyGiven(const std::string& key, const std::string& workspace);
+  /// The removal of the key was acknowledged.
+  void OnKeyRevoked(const std::string& key, MonotonicTime now);
+
+  /// A daemon ended by itself, without a signal.
+  void OnExit(const std::string& daemon);
+
+  /// The most memory that a daemon has used so far.
+  void OnMemory(const std::string& daemon,
+                std::uint64_t kib,
+                std::uint64_t limit_kib);
+
+  /// All faults ended some time ago, and this many requests of a sample were
+  /// served.
+  void OnRecovered(std::size_t served, std::size_t sent);
+
+  /// Checks what can only be told at the end.
+  void Finish();
+
+  const std::vector<std::string>& Violations() const { return m_violations; }
+
+  /// Requests by how they ended.
+  const std::map<std::string, std::uint64_t>& Counts() const {
+    return m_counts;
+  }
+
+ private:
+  struct Request {
+    RequestKind kind = RequestKind::kOnce;
+    std::string key;
+    MonotonicTime sent_at{};
+    std::size_t arrivals = 0;
+    std::vector<std::string> signatures;  ///< One for each run.
+    bool promised_not_run = false;
+  };
+  struct Key {
+    std::string workspace;
+    bool revoked = false;
+    MonotonicTime revoked_at{};
+  };
+
+  void Violate(const std::string& promise, const std::string& request);
+  void CheckSuccess(const std::string& id,
+                    const Request& request,
+                    const CallerView& view);
+  bool EventsInOrder(const CallerView& view) const;
+  void CheckRetries();
+
+  Options m_options;
+  std::map<std::string, Request> m_requests;
+  std::map<std::string, Key> m_keys;
+  std::vector<MonotonicTime> m_sent;
+  std::vector<MonotonicTime> m_repeats;       ///< Arrivals beyond the first.
+  std::map<std::string, bool> m_over_memory;  ///< Daemons reported once.
+  std::vector<std::string> m_violations;
+  std::map<std::string, std::uint64_t> m_counts;
+};
+
+}  // namespace jasminehatch::soak
+
+#endif  // JASMINEHATCH_DETAIL_SOAK_PROMISE_CHECKER_H_
--- /dev/null
+++ b/packages/soak/include/jasminehatch/detail/soak/soak_run.h
@@ -0,0 +1,145 @@
+#ifndef JASMINEHATCH_DETAIL_SOAK_SOAK_RUN_H_
+#define JASMINEHATCH_DETAIL_SOAK_SOAK_RUN_H_
+
+#include <jasminehatch/emulator.h>
+#include <jasminehatch/net.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "jasminehatch/detail/soak/loopback_proxy.h"
+#include "jasminehatch/detail/soak/promise_checker.h"
+#include "jasminehatch/detail/testing/process.h"
+
+namespace jasminehatch::soak {
+
+/// @brief One run: daemons as processes, stand-ins of the platform's store and
+/// of upstreams behind proxies, callers, and faults drawn from a seed.
+class SoakRun {
+ public:
+  struct Options {
+    std::string bin_dir;
+    std::string work_dir;  ///< Takes settings and logs of the daemons.
+    std::uint64_t seed = 1;
+    std::chrono::seconds fault_time{15};
+    std::size_t daemons = 4;
+    std::size_t upstreams = 4;
+    double requests_per_second = 80;
+    /// Most memory that a daemon may use, in KiB: that of the smallest VM.
+    std::uint64_t memory_limit_kib = 88 * 1024;
+  };
+
+  explicit SoakRun(const Options& options);
+  ~SoakRun();
+  SoakRun(const SoakRun&) = delete;
+  SoakRun& operator=(const SoakRun&) = delete;
+
+  /// @return whether no promise was broken
+  bool Run();
+
+ private:
+  struct Daemon {
+    std::string name;
+    std::string address;
+    std::string ready_address;
+    std::string peer_address;
+    std::string settings_file;
+    std::unique_ptr<LoopbackProxy> store_link;
+    std::unique_ptr<testing::Process> process;
+    MonotonicTime disturbed_at{};  ///< Killed, paused or started last.
+    bool paused = false;
+    bool stopping = false;
+  };
+  struct Upstream {
+    std::unique_ptr<emulator::PlatformUpstream> stand_in;
+    std::unique_ptr<LoopbackProxy> link;
+    double failure_share = 0;
+    bool registered = true;
+  };
+  struct Open {
+    std::size_t daemon = 0;
+    RequestKind kind = RequestKind::kOnce;
+    MonotonicTime sent_at{};
+    MonotonicTime overdue_at{};
+    CallerView view;
+    bool sample = false;  ///< Sent after all faults had ended.
+  };
+  using Fault = void (SoakRun::*)();
+
+  /// @return what a run draws from
+  static std::span<const Fault> Faults();
+
+  void StartUpstream(std::size_t index);
+  void StartDaemon(std::size_t index);
+  void WriteSettings(const Daemon& daemon);
+  void WriteConfiguration();
+  void Register(const Upstream& upstream, bool draining);
+  emulator::PlatformUpstream::Reply Behave(std::size_t upstream,
+                                           const net::HttpRequest& request);
+
+  void SendNext();
+  void Send();
+  void OnEnd(const std::string& id, const net::StreamEnd& end);
+  void LookAfter();
+  bool Disturbed(const Open& open) const;
+  void CheckMemory(const Daemon& daemon);
+
+  void NextFault();
+  void KillDaemon();
+  void StopDaemon();
+  void PauseDaemon();
+  void ReloadDaemon();
+  void HarmStoreLink();
+  void HarmUpstreamLink();
+  void StopStore();
+  void CompactStore();
+  void FailUpstream();
+  void UpstreamLeaves();
+  void ReplaceKey();
+  void EndFaults();
+
+  void After(std::chrono::milliseconds delay, std::function<void()> action);
+  void Log(const std::string& text);
+  bool Chance(double share);
+  std::size_t Draw(std::size_t count);
+  std::chrono::milliseconds DrawTime(int least_ms, int most_ms);
+  MonotonicTime Now() const;
+  bool Report();
+
+  Options m_options;
+  std::mt19937_64 m_random;
+  asio::io_context m_loop{1};
+  emulator::PlatformEmulator m_platform{m_loop};
+  net::StreamClient m_client{m_loop, {}};
+  std::vector<Daemon> m_daemons;
+  std::vector<Upstream> m_upstreams;
+  std::map<std::string, Open> m_open;
+  PromiseChecker m_checker;
+  asio::steady_timer m_send_timer{m_loop};
+  asio::steady_timer m_fault_timer{m_loop};
+  asio::steady_timer m_look_timer{m_loop};
+  std::vector<std::string> m_keys;  ///< In force.
+  std::uint64_t m_next_key = 0;
+  std::uint64_t m_next_request = 0;
+  std::uint64_t m_version = 0;
+  MonotonicTime m_started_at{};
+  std::size_t m_sample_sent = 0;
+  std::size_t m_sample_served = 0;
+  bool m_faults_over = false;
+  bool m_sampling = false;
+  bool m_done = false;
+};
+
+}  // namespace jasminehatch::soak
+
+#endif  // JASMINEHATCH_DETAIL_SOAK_SOAK_RUN_H_
--- /dev/null
+++ b/packages/soak/src/soak_run.cc
@@ -0,0 +1,358 @@
+#include "jasminehatch/detail/soak/soak_run.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace jasminehatch::soak {
+namespace {
+
+using emulator::PlatformUpstream;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDeadline{2500};
+
+/// A request that has no end this long after its deadline is overdue.
+constexpr milliseconds kOverdue{2000};
+
+/// Time from a start of a daemon, or the end of a pause, in which it may miss
+/// deadlines and close connections.
+constexpr milliseconds kDisturbedTime{4000};
+
+constexpr std::chrono::seconds kStopGrace{5};
+
+constexpr milliseconds kLook{100};
+constexpr std::size_t kStreamEvents = 5;
+
+/// Share of the requests that an upstream fails or rejects while it is sound.
+constexpr double kUsualFailures = 0.01;
+
+std::string EventText(std::size_t number) {
+  return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+std::string FreeAddress(asio::io_context& loop) {
+  const asio::ip::tcp::acceptor acceptor(
+      loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+json Route(const char* name, const char* kind, int attempts) {
+  return {{"name", name},       {"host", "h.example"},
+          {"kind", kind},       {"pathPrefix", "/" + std::string(name) + "/"},
+          {"timeoutMs", 4000},  {"sloMs", 300},
+          {"priority", 2},      {"service", "desk"},
+          {"targetGapMs", 300}, {"attempts", attempts}};
+}
+
+}  // namespace
+
+SoakRun::SoakRun(const Options& options)
+    : m_options(options), m_random(options.seed), m_checker({}) {}
+
+SoakRun::~SoakRun() = default;
+
+bool SoakRun::Run() {
+  m_started_at = Now();
+  for (const char* key : {"key-a", "key-b"}) {
+    m_keys.emplace_back(key);
+    m_checker.OnKeyGiven(key, "workspace-" + std::string(key));
+  }
+  WriteConfiguration();
+  m_upstreams.resize(m_options.upstreams);
+  for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+    StartUpstream(i);
+  }
+  m_daemons.resize(m_options.daemons);
+  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+    Daemon& daemon = m_daemons[i];
+    daemon.name = "entry-" + std::to_string(i);
+    daemon.address = FreeAddress(m_loop);
+    daemon.ready_address = FreeAddress(m_loop);
+    daemon.peer_address = FreeAddress(m_loop);
+    daemon.settings_file = m_options.work_dir + "/" + daemon.name + ".ini";
+    daemon.store_link =
+        std::make_unique<LoopbackProxy>(m_loop, m_platform.Address());
+    StartDaemon(i);
+  }
+  LookAfter();
+  After(std::chrono::seconds(2), [this] {
+    SendNext();
+    NextFault();
+  });
+  After(std::chrono::seconds(2) + m_options.fault_time,
+        [this] { EndFaults(); });
+  while (!m_done || !m_open.empty()) {
+    m_loop.run_one();
+  }
+  m_checker.OnRecovered(m_sample_served, m_sample_sent);
+  m_checker.Finish();
+  return Report();
+}
+
+void SoakRun::WriteConfiguration() {
+  json resumable = Route("stream", "streaming", 2);
+  resumable["resumable"] = true;
+  json workspaces = json::array();
+  for (const std::string& key : m_keys) {
+    workspaces.push_back(
+        {{"name", "workspace-" + key}, {"apiKeys", json::array({key})}});
+  }
+  const json configuration{
+      {"version", ++m_version},
+      {"routes",
+       {Route("once", "non_idempotent", 2), Route("again", "idempotent", 3),
+        resumable}},
+      {"services", json::array({{{"name", "desk"}, {"maxConns", 500}}})},
+      {"tenants", workspaces}};
+  m_platform.Put("keyed.op", "config", configuration.dump());
+}
+
+void SoakRun::StartUpstream(std::size_t index) {
+  Upstream& upstream = m_upstreams[index];
+  upstream.stand_in = std::make_unique<PlatformUpstream>(
+      m_loop, "upstream-" + std::to_string(index));
+  upstream.stand_in->SetBehaviour(
+      [this, index](const auto& request) { return Behave(index, request); });
+  const json entry = json::parse(upstream.stand_in->Entry("desk"));
+  upstream.link = std::make_unique<LoopbackProxy>(
+      m_loop, entry["address"].get<std::string>());
+  Register(upstream, false);
+}
+
+void SoakRun::Register(const Upstream& upstream, bool draining) {
+  json entry = json::parse(upstream.stand_in->Entry("desk", draining));
+  entry["address"] = upstream.link->Address();
+  m_platform.Put("keyed.servers", upstream.stand_in->Id(), entry.dump());
+}
+
+PlatformUpstream::Reply SoakRun::Behave(std::size_t upstream,
+                                        const net::HttpRequest& request) {
+  using Reply = PlatformUpstream::Reply;
+  const auto header = [&](const char* name) {
+    return std::string(net::FindHeader(request.headers, name));
+  };
+  const std::string id = header("X-Request-Id");
+  m_checker.OnArrived(id, Now());
+  Reply reply;
+  if (Chance(m_upstreams[upstream].failure_share + kUsualFailures)) {
+    constexpr Reply::Kind kKinds[] = {Reply::Kind::kNotRun, Reply::Kind::kBreak,
+                                      Reply::Kind::kHang, Reply::Kind::kAnswer};
+    reply.kind = kKinds[Draw(std::size(kKinds))];
+    reply.status = 500;
+  }
+  if (reply.kind == Reply::Kind::kNotRun) {
+    return reply;
+  }
+  m_checker.OnRan(id, "signature-of-" + m_upstreams[upstream].stand_in->Id(),
+                  header("X-Tenant"), header("Authorization"), Now());
+  reply.body = "answer to " + id;
+  if (reply.kind == Reply::Kind::kAnswer && reply.status == 200 &&
+      request.path.starts_with("/stream/")) {
+    const std::string after = header("Last-Event-Id");
+    reply.kind = Reply::Kind::kStream;
+    const std::size_t had = after.empty() ? 0 : std::stoul(after);
+    const bool cut =
+        Chance(m_upstreams[upstream].failure_share + kUsualFailures);
+    for (std::size_t i = had + 1; i <= kStreamEvents - (cut ? 2 : 0); ++i) {
+      reply.events.push_back(EventText(i));
+    }
+    reply.cut = cut;
+  }
+  return reply;
+}
+
+void SoakRun::WriteSettings(const Daemon& daemon) {
+  std::ofstream(daemon.settings_file)
+      << "[forwarder]\nname = " << daemon.name
+      << "\nzone = a\naddress = " << daemon.address
+      << "\nready_address = " << daemon.ready_address
+      << "\npeer_address = " << daemon.peer_address
+      << "\nstore_address = " << daemon.store_link->Address()
+      << "\nstop_grace = " << kStopGrace.count()
+      << "s\nrevoke_limit = 2500ms\ndrain_limit = 2000ms\n"
+         "retry_ratio = 0.2\nretry_slack = 50\nretry_window = 10s\n";
+}
+
+void SoakRun::StartDaemon(std::size_t index) {
+  Daemon& daemon = m_daemons[index];
+  WriteSettings(daemon);
+  daemon.process =
+      testing::Process::Start({m_options.bin_dir + "/jasminehatchd",
+                               "--settings", daemon.settings_file},
+                              m_options.work_dir + "/" + daemon.name + ".log");
+  daemon.disturbed_at = Now();
+  daemon.stopping = false;
+  daemon.paused = false;
+}
+
+void SoakRun::SendNext() {
+  if (m_done) {
+    return;
+  }
+  Send();
+  const double seconds = std::exponential_distribution<double>(
+      m_options.requests_per_second)(m_random);
+  m_send_timer.expires_after(std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(seconds)));
+  m_send_timer.async_wait([this](const asio::error_code&) { SendNext(); });
+}
+
+void SoakRun::Send() {
+  constexpr const char* kPaths[] = {"/once/x", "/again/x", "/stream/x"};
+  constexpr RequestKind kKinds[] = {
+      RequestKind::kOnce, RequestKind::kIdempotent, RequestKind::kStream};
+  const std::size_t kind = Draw(std::size(kPaths));
+  const std::string id = "request-" + std::to_string(m_next_request++);
+  // Callers go on with a key for a while after it was taken away.
+  const bool old_key = m_next_key > 0 && Chance(0.1);
+  const std::string key =
+      old_key ? "key-" + std::to_string(Draw(m_next_key)) : m_keys[Draw(2)];
+  Open open;
+  open.daemon = Draw(m_daemons.size());
+  open.kind = kKinds[kind];
+  open.sent_at = Now();
+  open.overdue_at = open.sent_at + kDeadline + kOverdue;
+  open.sample = m_sampling && !old_key;
+  m_sample_sent += open.sample ? 1 : 0;
+  net::StreamCall call;
+  call.address = m_daemons[open.daemon].address;
+  call.method = "POST";
+  call.target = kPaths[kind];
+  call.body = "body of " + id;
+  call.headers = {{"Host", "h.example"},
+                  {"X-Request-Id", id},
+                  {"X-Deadline-Ms", std::to_string(kDeadline.count())},
+                  {"Authorization", "Token " + key}};
+  m_checker.OnSent(id, open.kind, key, open.sent_at);
+  m_open.emplace(id, std::move(open));
+  net::StreamClient::Callbacks callbacks;
+  callbacks.on_head = [this, id](const net::StreamHead& head) {
+    const auto found = m_open.find(id);
+    if (found != m_open.end()) {
+      found->second.view.status = head.status;
+      found->second.view.signature =
+          net::FindHeader(head.headers, "X-Response-Signature");
+    }
+  };
+  callbacks.on_data = [this, id](std::string_view data) {
+    const auto found = m_open.find(id);
+    if (found != m_open.end()) {
+      found->second.view.body += data;
+    }
+  };
+  callbacks.on_end = [this, id](const net::StreamEnd& end) { OnEnd(id, end); };
+  m_client.Start(std::move(call), std::move(callbacks));
+}
+
+bool SoakRun::Disturbed(const Open& open) const {
+  const Daemon& daemon = m_daemons[open.daemon];
+  return daemon.paused || !daemon.process ||
+         daemon.disturbed_at + kDisturbedTime > open.sent_at;
+}
+
+void SoakRun::OnEnd(const std::string& id, const net::StreamEnd& end) {
+  const auto node = m_open.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  Open open = node.mapped();
+  open.view.complete = end.kind == net::StreamEnd::Kind::kComplete;
+  if (end.kind == net::StreamEnd::Kind::kNotSent) {
+    // The balancer would have chosen another daemon.
+    m_sample_sent -= open.sample ? 1 : 0;
+    return;
+  }
+  if (open.view.status == 0) {
+    m_checker.OnNoAnswer(id,
+                         Disturbed(open) || m_daemons[open.daemon].stopping);
+    return;
+  }
+  m_sample_served +=
+      open.sample && open.view.status == 200 && open.view.complete ? 1 : 0;
+  m_checker.OnAnswered(id, open.view);
+}
+
+void SoakRun::LookAfter() {
+  const MonotonicTime now = Now();
+  for (auto entry = m_open.begin(); entry != m_open.end();) {
+    if (entry->second.overdue_at > now) {
+      ++entry;
+      continue;
+    }
+    m_checker.OnOverdue(entry->first, Disturbed(entry->second));
+    entry = m_open.erase(entry);
+  }
+  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+    Daemon& daemon = m_daemons[i];
+    if (daemon.process && daemon.process->Ended()) {
+      if (!daemon.stopping) {
+        m_checker.OnExit(daemon.name);
+      }
+      StartDaemon(i);
+    }
+    if (daemon.process) {
+      CheckMemory(daemon);
+    }
+  }
+  m_look_timer.expires_after(kLook);
+  m_look_timer.async_wait([this](const asio::error_code&) { LookAfter(); });
+}
+
+void SoakRun::CheckMemory(const Daemon& daemon) {
+  std::ifstream status("/proc/" + std::to_string(daemon.process->Id()) +
+                       "/status");
+  for (std::string word; status >> word;) {
+    if (word == "VmHWM:") {
+      std::uint64_t kib = 0;
+      status >> kib;
+      m_checker.OnMemory(daemon.name, kib, m_options.memory_limit_kib);
+      return;
+    }
+  }
+}
+
+void SoakRun::After(milliseconds delay, std::function<void()> action) {
+  const auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
+  timer->async_wait([timer, action = std::move(action)](
+                        const asio::error_code&) { action(); });
+}
+
+void SoakRun::Log(const std::string& text) {
+  std::cout << (Now() - m_started_at) / milliseconds(1) << " ms  " << text
+            << '\n';
+}
+
+bool SoakRun::Chance(double share) {
+  return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+std::size_t SoakRun::Draw(std::size_t count) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+}
+
+milliseconds SoakRun::DrawTime(int least_ms, int most_ms) {
+  return milliseconds(
+      std::uniform_int_distribution<int>(least_ms, most_ms)(m_random));
+}
+
+MonotonicTime SoakRun::Now() const {
+  return MonotonicTime(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+bool SoakRun::Report() {
+  for (const auto& [what, count] : m_checker.Counts()) {
+    std::cout << "  " << what << ": " << count << '\n';
+  }
+  for (const std::string& violation : m_checker.Violations()) {
+    std::cout << "VIOLATION " << violation << '\n';
+  }
+  return m_checker.Violations().empty();
+}
+
+}  // namespace jasminehatch::soak
