Fill cache stores by their size; ask a store that is away less often

Saves without room are lost; stores in which others may be filling the last room unseen now come after those with plenty.

--- a/packages/core/src/forwarding/cache_stores.cc
+++ b/packages/core/src/forwarding/cache_stores.cc
@@ -1,7 +1,9 @@
 #include "jasminehatch/detail/forwarding/cache_stores.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <utility>
 
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 
@@ -14,6 +16,21 @@
 /// Stores keep parts in blocks of this many tokens.
 constexpr std::uint64_t kBlockTokens = 16;
 
+/// Share of a store that other daemons may be filling unseen. Stores with more
+/// room than that are preferred, since a save without room is lost.
+constexpr double kUnseenShare = 0.08;
+
+/// @return a rank by which a store is chosen for a name as often as its weight
+/// says, equal on all daemons (weighted rendezvous hashing)
+double WeightedRank(const std::string& store,
+                    std::uint64_t name,
+                    double weight) {
+  constexpr double kRange = 1ULL << 53U;
+  const double draw =
+      (static_cast<double>(StableHash(store, name) >> 11U) + 0.5) / kRange;
+  return -weight / std::log(draw);
+}
+
 std::uint64_t RoundUp(std::uint64_t tokens) {
   return (tokens + kBlockTokens - 1) / kBlockTokens * kBlockTokens;
 }
@@ -125,7 +142,7 @@
                                       std::uint32_t tokens,
                                       MonotonicTime now) {
   Store* best = nullptr;
-  double best_rank = 0;
+  std::pair<bool, double> best_rank;  ///< Has plenty of room, rank.
   const std::uint64_t name = StableHash(id, StableHash(salt));
   for (auto& [address, store] : m_stores) {
     if (!store.reachable) {
@@ -142,11 +159,12 @@
     if (free < RoundUp(tokens)) {
       continue;
     }
-    // Larger stores get more parts; equal on all daemons.
-    constexpr double kRange = 1ULL << 53U;
-    const double draw =
-        static_cast<double>(StableHash(address, name) >> 11U) / kRange;
-    const double rank = static_cast<double>(store.spec.capacity_tokens) * draw;
+    const auto capacity = static_cast<double>(store.spec.capacity_tokens);
+    const bool plenty =
+        static_cast<double>(free) - static_cast<double>(RoundUp(tokens)) >=
+        kUnseenShare * capacity;
+    const std::pair<bool, double> rank(plenty,
+                                       WeightedRank(address, name, capacity));
     if (best == nullptr || rank > best_rank) {
       best = &store;
       best_rank = rank;
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -150,6 +150,53 @@
   CHECK(stores.Reserve("s", "q", 500, now).empty());
 }
 
+// Guards against small stores that stay empty until the large ones are full.
+TEST(ForwardingStructures, StoresAreFilledByTheirSize) {
+  CacheStores stores;
+  std::vector<Service> services(5);
+  for (std::size_t i = 0; i < services.size(); ++i) {
+    services[i].name = "store-" + std::to_string(i);
+    services[i].store.emplace();
+    services[i].store->address = "10.0.0." + std::to_string(i) + ":1";
+    services[i].store->capacity_tokens = i == 0 ? 10'000'000 : 30'000'000;
+  }
+  stores.Configure(services);
+  for (const Service& service : services) {
+    stores.Apply(CacheListed{service.store->address, 1, {}});
+  }
+  int small = 0;
+  constexpr int kParts = 2600;
+  for (int i = 0; i < kParts; ++i) {
+    small += stores.Reserve("s", "part-" + std::to_string(i), 16, now) ==
+                     services[0].store->address
+                 ? 1
+                 : 0;
+  }
+  // A thirteenth of the capacity, within five standard deviations.
+  CHECK(small > 130 && small < 270);
+}
+
+// Guards against saves that are lost in a store which other daemons fill, while
+// another one has room.
+TEST(ForwardingStructures, StoresWithPlentyOfRoomComeFirst) {
+  CacheStores stores;
+  std::vector<Service> services(2);
+  for (std::size_t i = 0; i < services.size(); ++i) {
+    services[i].name = "store-" + std::to_string(i);
+    services[i].store.emplace();
+    services[i].store->address = "10.0.0." + std::to_string(i) + ":1";
+    services[i].store->capacity_tokens = 100'000;
+  }
+  stores.Configure(services);
+  stores.Apply(CacheListed{"10.0.0.0:1", 1, {{"s", "old", 95'000}}});
+  stores.Apply(CacheListed{"10.0.0.1:1", 1, {}});
+  for (int i = 0; i < 40; ++i) {
+    STRCMP_EQUAL(
+        "10.0.0.1:1",
+        std::string(stores.Reserve("s", std::to_string(i), 16, now)).c_str());
+  }
+}
+
 // Guards against saves without room, and against a second save of a part while
 // the first one runs.
 TEST(ForwardingStructures, SavesWhereThereIsRoomAndOnlyOnce) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 
@@ -68,6 +69,9 @@
   /// that a record exists, or needs a proof that none does.
   void ReadNow();
 
+  /// @return whether the latest read failed
+  bool Failing() const { return m_failing_since.has_value(); }
+
   /// @return where the records read so far end; nothing before the first read
   std::optional<std::uint64_t> End() const { return m_end; }
 
@@ -82,6 +86,7 @@
   void Deliver(const platform::StorePage& page);
   void NoteSuccess();
   void NoteFailure(const std::string& detail);
+  std::chrono::milliseconds RetryDelay();
   void After(std::chrono::milliseconds delay, void (TopicFollower::*next)());
 
   platform::StoreClient& m_store;
@@ -94,6 +99,8 @@
   std::optional<MonotonicTime> m_failing_since;
   bool m_reported_lost = false;
   bool m_reading_now = false;
+  std::chrono::milliseconds m_retry_delay;  ///< Of the next failure.
+  std::mt19937_64 m_random{std::random_device{}()};
 };
 
 }  // namespace jasminehatch::daemon
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -45,6 +45,9 @@
 constexpr milliseconds kProofCheck{100};
 constexpr milliseconds kProofRetry{300};
 
+/// The same while the store does not answer; the follower itself asks as well.
+constexpr milliseconds kProofRetryInOutage{1500};
+
 /// Reads of the registry of upstreams; each upstream writes there about once a
 /// second, so that a read on each record would be many.
 constexpr double kRegistryShare = 0.35;  ///< Of the drain limit.
@@ -390,7 +393,8 @@
   const double share = kProofRenewShare + kProofSpreadShare * m_proof_spread;
   if (age >= std::chrono::duration_cast<Duration>(state.options.proof_limit *
                                                   share) &&
-      m_clock.Now() - m_renewed_at >= kProofRetry) {
+      m_clock.Now() - m_renewed_at >=
+          (m_configuration.Failing() ? kProofRetryInOutage : kProofRetry)) {
     m_renewed_at = m_clock.Now();
     m_configuration.ReadNow();
     m_proof_spread = std::uniform_real_distribution<double>(0, 1)(m_random);
--- a/packages/daemon/src/forwarder/topic_follower.cc
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -10,9 +10,14 @@
 namespace jasminehatch::daemon {
 namespace {
 
-/// A failed read is repeated after this time; each call to the store has its
-/// price, also a refused one.
+/// A failed read is repeated after this time, and after twice as long each time
+/// it fails again; each call to the store has its price, also a refused one.
 constexpr std::chrono::milliseconds kRetryDelay{250};
+constexpr std::chrono::milliseconds kMaxRetryDelay{1200};
+
+/// Delays are drawn between this share of their length and the whole, so that
+/// daemons that lost the store together do not ask together.
+constexpr double kLeastDelayShare = 0.6;
 
 }  // namespace
 
@@ -25,7 +30,8 @@
       m_clock(clock),
       m_options(std::move(options)),
       m_callbacks(std::move(callbacks)),
-      m_timer(loop) {}
+      m_timer(loop),
+      m_retry_delay(kRetryDelay) {}
 
 void TopicFollower::List() {
   const MonotonicTime sent_at = m_clock.Now();
@@ -33,7 +39,7 @@
                      [this, sent_at](const platform::StorePage& page) {
                        if (page.status != platform::StorePage::Status::kRead) {
                          NoteFailure(page.detail);
-                         After(kRetryDelay, &TopicFollower::List);
+                         After(RetryDelay(), &TopicFollower::List);
                          return;
                        }
                        NoteSuccess();
@@ -73,7 +79,7 @@
     case platform::StorePage::Status::kFailed:
       NoteFailure(page.detail);
       if (chained) {
-        After(kRetryDelay, &TopicFollower::Read);
+        After(RetryDelay(), &TopicFollower::Read);
       }
       return;
     case platform::StorePage::Status::kCompacted:
@@ -111,7 +117,16 @@
   m_callbacks.on_records({first, page.records.end()});
 }
 
+std::chrono::milliseconds TopicFollower::RetryDelay() {
+  const std::chrono::milliseconds whole = m_retry_delay;
+  m_retry_delay = std::min(m_retry_delay * 2, kMaxRetryDelay);
+  const double share =
+      std::uniform_real_distribution<double>(kLeastDelayShare, 1)(m_random);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(whole * share);
+}
+
 void TopicFollower::NoteSuccess() {
+  m_retry_delay = kRetryDelay;
   const auto since = std::exchange(m_failing_since, std::nullopt);
   if (since) {
     m_reported_lost = false;
--- a/packages/soak/main/main.cc
+++ b/packages/soak/main/main.cc
@@ -67,7 +67,7 @@
   } else {
     std::cout << "logs of seed " << seed << ": " << folder << '\n';
   }
-  std::cout << "seed " << seed << (ok ? " passed\n" : " FAILED\n");
+  std::cout << "seed " << seed << (ok ? " passed" : " FAILED") << std::endl;
   return ok;
 }
 
