--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -14,6 +14,7 @@
 #include "jasminehatch/detail/forwarding/configuration.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
+#include "jasminehatch/detail/forwarding/options.h"
 
 namespace jasminehatch::forwarding {
 
@@ -82,6 +83,11 @@
   std::uint32_t output_hint = 0;  ///< The caller's estimate; 0 for none.
 };
 
+/// The settings were read again; requests in progress go on.
+struct OptionsChanged {
+  Options options;
+};
+
 /// A caller sent a request.
 struct RequestReceived {
   RequestId request;
@@ -170,6 +176,7 @@
                            UpstreamsListed,
                            RegistryRegained,
                            WeightsNamed,
+                           OptionsChanged,
                            RequestReceived,
                            CallerLeft,
                            AnswerStarted,
--- a/packages/core/src/forwarding/stepper.h
+++ b/packages/core/src/forwarding/stepper.h
@@ -47,6 +47,7 @@
   void Apply(const WeightsNamed& event) {
     m_state.upstreams.NameWeights(event, m_now);
   }
+  void Apply(const OptionsChanged& event) { m_state.options = event.options; }
   void Apply(const RequestReceived& event);
   void Apply(const CallerLeft& event);
   void Apply(const AnswerStarted& event);
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -376,3 +376,16 @@
   CHECK(Is(RefusalCode::kUpstreamFailed, refusal));
   CHECK(refusal.verdict == Verdict::kMayHaveRun);
 }
+
+// Guards against settings that are read again and change nothing.
+TEST(ForwardingStep, ChangedOptionsHoldForTheNextRequest) {
+  World world;
+  world.AddUpstream("u1", "desk");
+  world.Wait(2s);
+  OnlyStart(world.Send("/once/"));
+  Options options = world.Current().options;
+  options.proof_limit = 1s;
+  world.Apply(OptionsChanged{options});
+  CHECK(
+      Is(RefusalCode::kConfigurationStale, OnlyRefusal(world.Send("/once/"))));
+}
--- a/packages/ctl/include/jasminehatch/detail/ctl/commands.h
+++ b/packages/ctl/include/jasminehatch/detail/ctl/commands.h
@@ -11,6 +11,7 @@
 using Arguments = std::span<const std::string>;
 
 int CheckCommand(Arguments arguments);
+int ExplainCommand(Arguments arguments);
 int PublishCommand(Arguments arguments);
 int ShowCommand(Arguments arguments);
 int DiffCommand(Arguments arguments);
--- /dev/null
+++ b/packages/ctl/include/jasminehatch/detail/ctl/request_story.h
@@ -0,0 +1,60 @@
+#ifndef JASMINEHATCH_DETAIL_CTL_REQUEST_STORY_H_
+#define JASMINEHATCH_DETAIL_CTL_REQUEST_STORY_H_
+
+#include <cstdint>
+#include <iosfwd>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminehatch::ctl {
+
+/// @brief What the decision logs of the daemons say of one request.
+///
+/// Lines are read from any number of logs. A line may have text before its JSON
+/// object, such as the name of the machine that a log collector adds.
+class RequestStory {
+ public:
+  /// @brief A line of a log.
+  struct Line {
+    std::int64_t time_ms = 0;  ///< By the daemon's time of day.
+    std::string source;        ///< Log, and what stood before the object.
+    nlohmann::json fields;
+  };
+
+  explicit RequestStory(std::string request) : m_request(std::move(request)) {}
+
+  /// Reads a whole log. Lines that are no JSON object are skipped and counted.
+  /// @param name of the log, for the output
+  void Read(std::istream& log, const std::string& name);
+
+  /// Puts the lines in order and keeps what bears on the request: its own
+  /// lines, and dependencies lost and regained around it at the same daemons.
+  void Finish();
+
+  const std::vector<Line>& Lines() const { return m_lines; }
+
+  /// @return what the logs should say and do not
+  const std::vector<std::string>& Gaps() const { return m_gaps; }
+
+  /// @return whether a log has a line of the request
+  bool Found() const { return m_found; }
+
+  std::uint64_t SkippedLines() const { return m_skipped; }
+
+ private:
+  void FindGaps(std::int64_t first_ms, std::int64_t last_ms);
+
+  std::string m_request;
+  std::vector<Line> m_lines;
+  std::vector<Line> m_context;  ///< Lines without a request.
+  std::vector<Line> m_thinned;  ///< Lines that tell of ones left out.
+  std::vector<std::string> m_gaps;
+  std::uint64_t m_skipped = 0;
+  bool m_found = false;
+};
+
+}  // namespace jasminehatch::ctl
+
+#endif  // JASMINEHATCH_DETAIL_CTL_REQUEST_STORY_H_
--- a/packages/ctl/src/command.cc
+++ b/packages/ctl/src/command.cc
@@ -12,8 +12,10 @@
 namespace {
 
 constexpr std::array kCommands{
-    Command{"check", "check FILE", "Checks a configuration file.",
-            &CheckCommand},
+    Command{
+        "check", "check FILE",
+        "Checks a configuration file, or the settings of a forwarding daemon.",
+        &CheckCommand},
     Command{"diff", "diff FILE --log URL",
             "Prints what publishing FILE would change; exit code 1 when "
             "anything would.",
@@ -37,6 +39,11 @@
     Command{"status", "status --daemons URL,URL",
             "Prints the state, the upstreams and the peers of each daemon.",
             &StatusCommand},
+    Command{"explain", "explain REQUEST_ID [LOG...]",
+            "Prints what the logs of the daemons say of a request, in order, "
+            "with gaps named; reads standard input without LOG. Exit code 3 "
+            "when no log has a line of it.",
+            &ExplainCommand},
     Command{"load", "load --daemons URL,URL --key KEY [--rate N] [--seconds N]",
             "Sends prompts and bookings at a set rate and prints latencies.",
             &LoadCommand},
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -179,8 +179,21 @@
   }
 
   void Reload(const codec::ForwarderSettings& settings) {
-    m_log.Write(DecisionLog::Level::kState, "settings_read_again", {});
-    m_settings = settings;
+    // What the process was bound to at its start holds until it ends.
+    const bool needs_restart =
+        settings.address != m_settings.address ||
+        settings.ready_address != m_settings.ready_address ||
+        settings.metrics_address != m_settings.metrics_address ||
+        settings.peer_address != m_settings.peer_address ||
+        settings.store_address != m_settings.store_address ||
+        settings.name != m_settings.name || settings.zone != m_settings.zone ||
+        settings.lease_time != m_settings.lease_time ||
+        settings.drain_limit != m_settings.drain_limit;
+    const std::array fields{
+        DecisionLogField{"needs_restart", needs_restart ? "yes" : "no"}};
+    m_log.Write(DecisionLog::Level::kState, "settings_read_again", fields);
+    m_settings.stop_grace = settings.stop_grace;
+    m_host.Apply(forwarding::OptionsChanged{PolicyOf(settings)});
   }
 
  private:
