--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -42,6 +42,11 @@
 /// then and has told its proof.
 constexpr double kProofRenewShare = 0.3;
 constexpr double kProofSpreadShare = 0.2;
+
+/// The spread in a fleet of more than this many daemons, where it takes longer
+/// until all have heard of a proof.
+constexpr std::size_t kLargeFleet = 12;
+constexpr double kLargeFleetSpreadShare = 0.4;
 constexpr milliseconds kProofCheck{100};
 constexpr milliseconds kProofRetry{300};
 
@@ -403,7 +408,9 @@
 void Forwarder::Impl::RenewProof() {
   const forwarding::State& state = m_host.State();
   const auto age = m_clock.Now() - state.confirmed_at.value_or(m_clock.Now());
-  const double share = kProofRenewShare + kProofSpreadShare * m_proof_spread;
+  const bool large = m_gossip && m_gossip->LivePeers() > kLargeFleet;
+  const double spread = large ? kLargeFleetSpreadShare : kProofSpreadShare;
+  const double share = kProofRenewShare + spread * m_proof_spread;
   if (age >= std::chrono::duration_cast<Duration>(state.options.proof_limit *
                                                   share) &&
       m_clock.Now() - m_renewed_at >=
