Accept keys up to 0.85 of the time limit of revoked ones

A request counts by when it was sent, which is before it is admitted; a proof may be as old as the limit but for the error of clocks. Renewals stay at the same times.

--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -40,13 +40,13 @@
 /// A proof that the configuration is current is renewed at this share of its
 /// limit, and up to the second share later: mostly another daemon has done so
 /// then and has told its proof.
-constexpr double kProofRenewShare = 0.3;
-constexpr double kProofSpreadShare = 0.2;
+constexpr double kProofRenewShare = 0.21;
+constexpr double kProofSpreadShare = 0.14;
 
 /// The spread in a fleet of more than this many daemons, where it takes longer
 /// until all have heard of a proof.
 constexpr std::size_t kLargeFleet = 12;
-constexpr double kLargeFleetSpreadShare = 0.4;
+constexpr double kLargeFleetSpreadShare = 0.28;
 constexpr milliseconds kProofCheck{100};
 constexpr milliseconds kProofRetry{300};
 
@@ -61,9 +61,9 @@
 /// that could not be renewed.
 constexpr milliseconds kRegistryOutage{800};
 
-/// Share of the time limit of revoked keys that a proof may age. The rest
-/// covers the travel of a request that was admitted by it.
-constexpr double kProofShare = 0.6;
+/// Share of the time limit of revoked keys that a proof may age. A request was
+/// sent before it is admitted, so that the rest covers clocks alone.
+constexpr double kProofShare = 0.85;
 
 /// Share of the time limit of weights after which older ones are not used.
 constexpr double kVersionShare = 0.85;
