Free parts of replaced weights sooner

The delay is cut to what a fetch can take, parts are looked for five times a second, and the first live daemon frees them.

--- a/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
@@ -37,20 +37,26 @@
                      platform::EngineControl& engines,
                      ForwardingHost& host,
                      telemetry::DecisionLog& log,
-                     std::string address,
-                     std::chrono::milliseconds free_turn);
+                     std::string address);
 
   void Start() { List(); }
 
   /// Sets the number of daemons, since a store holds few waiting reads.
-  void SetDaemons(std::size_t daemons) { m_daemons = daemons; }
+  /// @param rank place of this one in the order in which they free parts
+  void SetDaemons(std::size_t daemons, std::size_t rank) {
+    m_daemons = daemons;
+    m_rank = rank;
+  }
+
+  /// Frees parts of replaced weights once no fetch of them can run.
+  void FreeUnused();
 
  private:
   void List();
   void Read();
   void OnChanges(const std::optional<platform::CachePage>& page);
   void NoteLost();
-  void FreeUnused();
+  void CheckAgain();
   void After(std::chrono::milliseconds delay,
              void (CacheStoreFollower::*next)());
 
@@ -59,14 +65,15 @@
   ForwardingHost& m_host;
   telemetry::DecisionLog& m_log;
   std::string m_address;
-  std::chrono::milliseconds m_free_turn;
   asio::steady_timer m_timer;
+  asio::steady_timer m_free_timer;
   std::uint64_t m_epoch = 0;
   std::uint64_t m_next = 0;
   std::uint64_t m_clock_ms = 0;  ///< Shared clock at the last answer.
   MonotonicTime m_clock_at{};
   std::optional<MonotonicTime> m_unused_since;
   std::size_t m_daemons = 1;
+  std::size_t m_rank = 0;
   bool m_reachable = true;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -82,6 +82,10 @@
   /// @return other daemons that were heard lately
   std::size_t LivePeers() const;
 
+  /// @return how many of those come before this one, in an order that all
+  /// daemons share
+  std::size_t Rank() const;
+
   /// Tells a change of weights at once, and for a while with each message.
   void Announce(const codec::WeightsNews& news);
 
@@ -112,6 +116,7 @@
     MonotonicTime until{};
   };
 
+  bool Live(const Peer& peer) const;
   void Register();
   void ReadPeers();
   void AddPeer(const std::string& name,
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -1,5 +1,6 @@
 #include "jasminehatch/detail/forwarder/cache_store_follower.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <utility>
@@ -31,12 +32,22 @@
 constexpr milliseconds kPause{60};
 
 /// Parts of replaced weights are freed this long after the last engine has
-/// left those weights: longer than any fetch of them can take.
-constexpr milliseconds kFreeDelay{3000};
+/// left those weights. An engine starts no fetch that would wait over two
+/// seconds, and its change is seen when the new weights are loaded, some
+/// hundred milliseconds after the last fetch can have begun.
+constexpr milliseconds kFreeDelay{2200};
+
+/// How often unused parts are looked for between two reads.
+constexpr milliseconds kFreeCheck{200};
 
 /// A free is not carried out later than this after it was decided.
 constexpr std::uint64_t kFreeTimeMs = 1500;
 
+/// Daemons free parts one after another, this far apart, so that mostly only
+/// the first one finds any.
+constexpr milliseconds kFreeStep{500};
+constexpr std::size_t kFreeSteps = 8;
+
 /// Parts that one call frees.
 constexpr std::size_t kFreeLimit = 500;
 
@@ -47,15 +58,14 @@
                                        platform::EngineControl& engines,
                                        ForwardingHost& host,
                                        telemetry::DecisionLog& log,
-                                       std::string address,
-                                       std::chrono::milliseconds free_turn)
+                                       std::string address)
     : m_clock(clock),
       m_engines(engines),
       m_host(host),
       m_log(log),
       m_address(std::move(address)),
-      m_free_turn(free_turn),
-      m_timer(loop) {}
+      m_timer(loop),
+      m_free_timer(loop) {}
 
 void CacheStoreFollower::List() {
   m_engines.ListCache(
@@ -141,7 +151,9 @@
   if (!m_unused_since) {
     m_unused_since = now;
   }
-  if (now - *m_unused_since < kFreeDelay + m_free_turn) {
+  const milliseconds turn = kFreeStep * std::min(m_rank, kFreeSteps);
+  if (now - *m_unused_since < kFreeDelay + turn) {
+    CheckAgain();
     return;
   }
   const std::string count = std::to_string(unused.size());
@@ -153,7 +165,10 @@
   for (const forwarding::CachedPart& part : unused) {
     freed.changes.push_back({false, part});
   }
-  m_engines.FreeParts(m_address, m_epoch, m_clock_ms + kFreeTimeMs, unused,
+  const auto clock_age = (now - m_clock_at) / milliseconds(1);
+  const std::uint64_t until =
+      m_clock_ms + static_cast<std::uint64_t>(clock_age) + kFreeTimeMs;
+  m_engines.FreeParts(m_address, m_epoch, until, unused,
                       [this, alive = std::weak_ptr<int>(m_alive), freed] {
                         if (!alive.expired()) {
                           m_host.Apply(freed);
@@ -162,6 +177,15 @@
   m_unused_since = now - kFreeDelay;
 }
 
+void CacheStoreFollower::CheckAgain() {
+  m_free_timer.expires_after(kFreeCheck);
+  m_free_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      FreeUnused();
+    }
+  });
+}
+
 void CacheStoreFollower::After(std::chrono::milliseconds delay,
                                void (CacheStoreFollower::*next)()) {
   m_timer.expires_after(delay);
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -21,7 +21,6 @@
 #include "jasminehatch/detail/forwarder/peer_gossip.h"
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/detail/forwarder/weights_rollout.h"
-#include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/net.h"
 #include "jasminehatch/platform.h"
 #include "jasminehatch/telemetry.h"
@@ -71,11 +70,6 @@
 /// The balancer asks once a second and takes a daemon out after two misses.
 constexpr milliseconds kBalancerNotice{2600};
 
-/// Daemons free unused parts of a cache store one after another, this far
-/// apart, so that mostly only the first one finds any.
-constexpr milliseconds kFreeStep{500};
-constexpr std::uint64_t kFreeSteps = 6;
-
 constexpr milliseconds kStopCheck{50};
 constexpr milliseconds kLogFlush{200};
 
@@ -432,12 +426,13 @@
   std::erase_if(m_cache_stores, [&](const auto& entry) {
     return !stores.contains(entry.first);
   });
-  const milliseconds turn =
-      kFreeStep * (forwarding::StableHash(m_settings.name) % kFreeSteps);
+  const std::size_t daemons = 1 + (m_gossip ? m_gossip->LivePeers() : 0);
+  const std::size_t rank = m_gossip ? m_gossip->Rank() : 0;
   for (const auto& [address, store] : stores) {
     const auto [follower, added] = m_cache_stores.try_emplace(
-        address, m_loop, m_clock, m_engines, m_host, m_log, address, turn);
-    follower->second.SetDaemons(1 + (m_gossip ? m_gossip->LivePeers() : 0));
+        address, m_loop, m_clock, m_engines, m_host, m_log, address);
+    follower->second.SetDaemons(daemons, rank);
+    follower->second.FreeUnused();
     if (added) {
       follower->second.Start();
     }
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -263,12 +263,20 @@
   return {std::move(near), std::move(far)};
 }
 
+bool PeerGossip::Live(const Peer& peer) const {
+  return peer.heard && m_clock.Now() - peer.heard_at <= kHeardAge;
+}
+
 std::size_t PeerGossip::LivePeers() const {
-  const MonotonicTime now = m_clock.Now();
   return static_cast<std::size_t>(
-      std::count_if(m_peers.begin(), m_peers.end(), [now](const auto& entry) {
-        return entry.second.heard && now - entry.second.heard_at <= kHeardAge;
-      }));
+      std::count_if(m_peers.begin(), m_peers.end(),
+                    [this](const auto& entry) { return Live(entry.second); }));
+}
+
+std::size_t PeerGossip::Rank() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_peers.begin(), m_peers.lower_bound(m_options.daemon),
+                    [this](const auto& entry) { return Live(entry.second); }));
 }
 
 void PeerGossip::Send() {
