--- a/packages/core/include/jasminehatch/detail/forwarding/placement.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/placement.h
@@ -13,9 +13,12 @@
 
 /// @brief The upstream for an attempt, with what decided for it.
 struct Placement {
-  Upstream* upstream = nullptr;  ///< Null when none can be used.
-  bool overloaded = false;       ///< None has room for the request in time.
-  double load = 0;               ///< Relative load of the upstream.
+  Upstream* upstream = nullptr;
+  /// The one that serves this prompt while it is not overloaded, so that it
+  /// probably has its parts; null without a prompt.
+  const Upstream* home = nullptr;  ///< Null when none can be used.
+  bool overloaded = false;         ///< None has room for the request in time.
+  double load = 0;                 ///< Relative load of the upstream.
   std::size_t candidates = 0;
   double mean_load = 0;    ///< Mean of the candidates' relative loads.
   bool by_prompt = false;  ///< Chosen by the parts of the prompt.
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -55,7 +55,7 @@
                std::to_string(placement.load));
     return;
   }
-  StartOn(request, *placement.upstream);
+  StartOn(request, placement);
   LogPlacement(request, placement, "placed", "");
 }
 
@@ -93,7 +93,8 @@
   Log(request, event, std::move(fields));
 }
 
-void Stepper::StartOn(Request& request, Upstream& upstream) {
+void Stepper::StartOn(Request& request, const Placement& placement) {
+  Upstream& upstream = *placement.upstream;
   const AttemptId id{m_state.next_attempt++};
   ++request.sends;
   request.attempt =
@@ -111,7 +112,7 @@
   start.repeat = request.route->repeat;
   start.resume_after = request.last_event;
   if (request.arrival.prompt) {
-    start.prompt = OrderFor(request, upstream);
+    start.prompt = OrderFor(request, placement);
     NoteCacheUse(*request.arrival.prompt, *start.prompt, *request.attempt);
   }
   SetTimer(request);
@@ -119,7 +120,8 @@
 }
 
 PromptOrder Stepper::OrderFor(const Request& request,
-                              const Upstream& upstream) {
+                              const Placement& placement) {
+  const Upstream& upstream = *placement.upstream;
   const std::string& model = request.arrival.prompt->model;
   PromptOrder order;
   order.expected_version = upstream.Weights(model);
@@ -127,13 +129,18 @@
   // those of a dedicated workspace only within it.
   order.salt = SaltPrefix(model, order.expected_version) +
                (request.dedicated ? request.workspace : "");
-  PlanParts(request, upstream, order);
+  PlanParts(request, placement, order);
   return order;
 }
 
 void Stepper::PlanParts(const Request& request,
-                        const Upstream& upstream,
+                        const Placement& placement,
                         PromptOrder& order) {
+  const Upstream& upstream = *placement.upstream;
+  const std::string& model = request.arrival.prompt->model;
+  const bool elsewhere =
+      placement.home != nullptr && placement.home != &upstream &&
+      placement.home->Weights(model) == order.expected_version;
   const auto& parts = request.arrival.prompt->parts;
   order.fetch.resize(parts.size());
   order.save.resize(parts.size());
@@ -147,6 +154,9 @@
     } else if (part.tokens >= kLeastSavedTokens) {
       order.save[i] =
           m_state.stores.Reserve(order.salt, part.id, part.tokens, m_now);
+      // It finds the part only under the same salt; a miss costs little.
+      order.fetch[i] =
+          elsewhere ? placement.home->entry.address : std::string();
     }
   }
 }
@@ -305,7 +315,7 @@
     return false;
   }
   m_effects.emplace_back(CountEvent{reason});
-  StartOn(request, *placement.upstream);
+  StartOn(request, placement);
   LogPlacement(request, placement, "retried", detail);
   return true;
 }
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -96,6 +96,7 @@
     const Candidate& chosen =
         placement.by_prompt ? ByPrompt(placement.mean_load) : LeastLoaded();
     placement.upstream = chosen.upstream;
+    placement.home = placement.by_prompt ? Home() : nullptr;
     placement.load = chosen.load;
     placement.overloaded = HasNoMemory(chosen);
     return placement;
@@ -188,12 +189,30 @@
         });
   }
 
-  const Candidate& ByPrompt(double mean_load) const {
+  /// @return the hash of the leading parts, which other prompts share
+  std::uint64_t PrefixHash() const {
     const auto& parts = m_request.arrival.prompt->parts;
     std::uint64_t prefix = 0;
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
       prefix = StableHash(parts[i].id, prefix);
     }
+    return prefix;
+  }
+
+  const Upstream* Home() const {
+    const std::uint64_t prefix = PrefixHash();
+    const auto rank = [prefix](const Candidate& candidate) {
+      return StableHash(candidate.upstream->entry.id, prefix);
+    };
+    return std::max_element(m_candidates.begin(), m_candidates.end(),
+                            [&](const Candidate& left, const Candidate& right) {
+                              return rank(left) < rank(right);
+                            })
+        ->upstream;
+  }
+
+  const Candidate& ByPrompt(double mean_load) const {
+    const std::uint64_t prefix = PrefixHash();
     const Candidate* best = nullptr;
     std::uint64_t best_rank = 0;
     for (const Candidate& candidate : m_candidates) {
--- a/packages/core/src/forwarding/stepper.h
+++ b/packages/core/src/forwarding/stepper.h
@@ -106,10 +106,10 @@
   /// @return whether the request is refused, since it crashed upstreams
   bool RefuseCrashSuspect(Request& request);
   void Dispatch(Request& request);
-  void StartOn(Request& request, Upstream& upstream);
-  PromptOrder OrderFor(const Request& request, const Upstream& upstream);
+  void StartOn(Request& request, const Placement& placement);
+  PromptOrder OrderFor(const Request& request, const Placement& placement);
   void PlanParts(const Request& request,
-                 const Upstream& upstream,
+                 const Placement& placement,
                  PromptOrder& order);
   std::optional<MonotonicTime> GiveUpTime(const Request& request) const;
   void EndAttempt(Request& request);
