--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -389,3 +389,29 @@
   CHECK(
       Is(RefusalCode::kConfigurationStale, OnlyRefusal(world.Send("/once/"))));
 }
+
+// Guards against parts that are read again when the engine that has them is
+// overloaded and the stores do not hold them.
+TEST(ForwardingStep, PartsAreFetchedFromTheEngineThatUsuallyServesThePrompt) {
+  World world;
+  for (const char* id : {"e1", "e2"}) {
+    world.AddUpstream(id, "engine", 1);
+  }
+  const StartAttempt first = OnlyStart(world.Send("/prompt/"));
+  for (const std::string& source : first.prompt->fetch) {
+    CHECK(source.empty());
+  }
+  world.Apply(PeersKnown{1});
+  world.Apply(PeerLoadReported{
+      "peer", {{FleetLoad::NameOf(first.upstream), 7, 9'000}}, ""});
+  const StartAttempt second = OnlyStart(world.Send("/prompt/"));
+  CHECK(second.upstream != first.upstream);
+  STRCMP_EQUAL("10.0.0.1:80", second.prompt->fetch.at(1).c_str());
+  // The last part is the request's own.
+  CHECK(second.prompt->fetch.back().empty());
+  // An engine with other weights has none of them.
+  world.Apply(WeightsObserved{first.upstream, "m", 2});
+  const StartAttempt third = OnlyStart(world.Send("/prompt/"));
+  STRCMP_EQUAL(second.upstream.c_str(), third.upstream.c_str());
+  CHECK(third.prompt->fetch.at(1).empty());
+}
