End a stream as broken when its resumption is answered by a failure

Such an answer now counts as a bad one. Test without the soak first: AFailureThatEndsAStreamLooksBroken.

--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -291,6 +291,10 @@
   if (facts.not_run && (status == 503 || status == 429)) {
     return AttemptOutcome::kNotRun;
   }
+  if (running.begun && !running.streaming) {
+    // It was to go on with a stream of which the caller has a part.
+    return AttemptOutcome::kBadAnswer;
+  }
   if (status / 100 == 2) {
     const bool cut = running.splitter.PendingBytes() > 0;
     return facts.genuine && !cut ? AttemptOutcome::kAnswered
--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -307,6 +307,27 @@
   STRCMP_EQUAL("id: 1\ndata: a\n\n", answer.body.c_str());
 }
 
+// Guards against a stream that looks whole because the upstream that should go
+// on with it fails with a whole answer of its own (found by soak seed 108).
+TEST(ForwarderPath, AFailureThatEndsAStreamLooksBroken) {
+  Bench bench;
+  CHECK(bench.WaitUntilReady());
+  bench.SetBehaviour([](const net::HttpRequest& request) {
+    Reply reply = MakeReply(Reply::Kind::kAnswer);
+    if (net::FindHeader(request.headers, "Last-Event-Id").empty()) {
+      reply.kind = Reply::Kind::kStream;
+      reply.events = {"id: 1\ndata: a\n\n"};
+      reply.cut = true;
+    } else {
+      reply.status = 500;
+    }
+    return reply;
+  });
+  const Answer answer = bench.Send("/stream/x");
+  LONGS_EQUAL(200, answer.head.status);
+  CHECK(answer.end.kind == net::StreamEnd::Kind::kBroken);
+}
+
 // Guards against a caller that waits longer than it said.
 TEST(ForwarderPath, AHangingUpstreamEndsAtTheDeadline) {
   Bench bench;
