--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -9,6 +9,8 @@
 
 #include "jasminehatch/detail/forwarding/options.h"
 
+#include "jasminehatch/detail/forwarding/options.h"
+
 namespace jasminehatch::codec {
 
 struct IniDocument;
@@ -36,6 +38,10 @@
   double retry_ratio = 0.2;
   double retry_slack = 50;
   std::chrono::seconds retry_window{10};
+  forwarding::PromptPlacement prompt_placement =
+      forwarding::PromptPlacement::kPrefix;
+  bool use_cache_stores = true;
+  bool limit_admission = true;
 
   /// @brief Reads settings from an INI document.
   /// @throw SettingsError 1xx; the message has file, line, key and what is
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "jasminehatch/detail/ini/ini_document.h"
 #include "jasminehatch/detail/settings/field_table.h"
@@ -15,6 +16,21 @@
 
 using ForwarderField = Field<ForwarderSettings>;
 
+forwarding::PromptPlacement ReadPlacement(const FieldReader& reader) {
+  using forwarding::PromptPlacement;
+  constexpr std::array<std::pair<std::string_view, PromptPlacement>, 3> kNames{
+      {{"prefix", PromptPlacement::kPrefix},
+       {"prefix_alone", PromptPlacement::kPrefixAlone},
+       {"least_loaded", PromptPlacement::kLeastLoaded}}};
+  const std::string text = reader.Text();
+  for (const auto& [name, placement] : kNames) {
+    if (name == text) {
+      return placement;
+    }
+  }
+  reader.Fail(104, "must be prefix, prefix_alone or least_loaded");
+}
+
 constexpr std::array kFields{
     ForwarderField{
         "name",
@@ -103,6 +119,27 @@
                          r.Time(seconds(1), minutes(10)));
                    },
                    false, "10s", "time over which retries are counted"},
+    ForwarderField{"prompt_placement",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.prompt_placement = ReadPlacement(r);
+                   },
+                   false, "prefix",
+                   "engine of a prompt: `prefix` (by its leading parts, unless "
+                   "that engine is overloaded), `prefix_alone` (whatever the "
+                   "load) or `least_loaded`"},
+    ForwarderField{"cache_stores",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.use_cache_stores = r.Flag();
+                   },
+                   false, "yes",
+                   "whether parts of prompts are saved and fetched"},
+    ForwarderField{"admission",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.limit_admission = r.Flag();
+                   },
+                   false, "yes",
+                   "whether prompts are refused for which no engine has "
+                   "memory"},
 };
 
 }  // namespace
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -9,10 +9,22 @@
 
 namespace jasminehatch::forwarding {
 
+/// @brief How the upstream of a prompt is chosen.
+enum class PromptPlacement {
+  kPrefix,       ///< By its leading parts, unless that one is overloaded.
+  kPrefixAlone,  ///< By its leading parts, whatever the load.
+  kLeastLoaded,
+};
+
 /// @brief Policy settings of the forwarding concern.
 struct Options {
   std::string zone;  ///< Availability zone of this daemon.
 
+  PromptPlacement prompt_placement = PromptPlacement::kPrefix;
+  bool use_cache_stores = true;
+  /// Requests for which no upstream has memory are refused.
+  bool limit_admission = true;
+
   /// A request with a key is refused when the newest proof that the
   /// configuration is current is older than this.
   Duration proof_limit = std::chrono::milliseconds(3000);
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -144,6 +144,9 @@
   const auto& parts = request.arrival.prompt->parts;
   order.fetch.resize(parts.size());
   order.save.resize(parts.size());
+  if (!m_state.options.use_cache_stores) {
+    return;
+  }
   // The last part is the request's own and does not return.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     const PromptPart& part = parts[i];
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -94,11 +94,12 @@
     placement.by_prompt = m_request.arrival.prompt.has_value() &&
                           m_request.arrival.prompt->parts.size() > 1;
     const Candidate& chosen =
-        placement.by_prompt ? ByPrompt(placement.mean_load) : LeastLoaded();
+        placement.by_prompt ? ByPolicy(placement.mean_load) : LeastLoaded();
     placement.upstream = chosen.upstream;
-    placement.home = placement.by_prompt ? Home() : nullptr;
+    placement.home = placement.by_prompt ? Home().upstream : nullptr;
     placement.load = chosen.load;
-    placement.overloaded = HasNoMemory(chosen);
+    placement.overloaded =
+        m_state.options.limit_admission && HasNoMemory(chosen);
     return placement;
   }
 
@@ -199,16 +200,28 @@
     return prefix;
   }
 
-  const Upstream* Home() const {
+  const Candidate& Home() const {
     const std::uint64_t prefix = PrefixHash();
     const auto rank = [prefix](const Candidate& candidate) {
       return StableHash(candidate.upstream->entry.id, prefix);
     };
-    return std::max_element(m_candidates.begin(), m_candidates.end(),
-                            [&](const Candidate& left, const Candidate& right) {
-                              return rank(left) < rank(right);
-                            })
-        ->upstream;
+    return *std::max_element(
+        m_candidates.begin(), m_candidates.end(),
+        [&](const Candidate& left, const Candidate& right) {
+          return rank(left) < rank(right);
+        });
+  }
+
+  const Candidate& ByPolicy(double mean_load) const {
+    switch (m_state.options.prompt_placement) {
+      case PromptPlacement::kPrefixAlone:
+        return Home();
+      case PromptPlacement::kLeastLoaded:
+        return LeastLoaded();
+      case PromptPlacement::kPrefix:
+        break;
+    }
+    return ByPrompt(mean_load);
   }
 
   const Candidate& ByPrompt(double mean_load) const {
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -415,3 +415,25 @@
   STRCMP_EQUAL(second.upstream.c_str(), third.upstream.c_str());
   CHECK(third.prompt->fetch.at(1).empty());
 }
+
+// Guards against baselines that do not do what they are called.
+TEST(ForwardingStep, BaselinePoliciesLeaveOutWhatTheirNamesSay) {
+  World world;
+  for (const char* id : {"e1", "e2"}) {
+    world.AddUpstream(id, "engine", 1);
+  }
+  world.Current().options.prompt_placement = PromptPlacement::kPrefixAlone;
+  world.Current().options.limit_admission = false;
+  const std::string home = OnlyStart(world.Send("/prompt/")).upstream;
+  for (int i = 0; i < 30; ++i) {
+    STRCMP_EQUAL(home.c_str(),
+                 OnlyStart(world.Send("/prompt/")).upstream.c_str());
+  }
+  world.Current().options.prompt_placement = PromptPlacement::kLeastLoaded;
+  CHECK(OnlyStart(world.Send("/prompt/")).upstream != home);
+  world.Current().options.use_cache_stores = false;
+  const StartAttempt start = OnlyStart(world.Send("/prompt/"));
+  for (std::size_t i = 0; i < start.prompt->fetch.size(); ++i) {
+    CHECK(start.prompt->fetch[i].empty() && start.prompt->save[i].empty());
+  }
+}
--- a/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
@@ -62,8 +62,8 @@
 
   void Start() { List(); }
 
-  /// Sets how long the store may hold the next reads.
-  void SetWait(std::chrono::milliseconds wait) { m_options.wait = wait; }
+  /// Sets the pause between two reads.
+  void SetPause(std::chrono::milliseconds pause) { m_options.pause = pause; }
 
   /// Reads at once, beside a read that waits. For a follower that has learned
   /// that a record exists, or needs a proof that none does.
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -55,6 +55,8 @@
 /// Reads of the registry of upstreams; each upstream writes there about once a
 /// second, so that a read on each record would be many.
 constexpr double kRegistryShare = 0.35;  ///< Of the drain limit.
+/// The same in a large fleet, where the calls of all daemons add up.
+constexpr double kLargeFleetRegistryShare = 0.55;
 
 /// Failed reads of the registry after which its removals may only be entries
 /// that could not be renewed.
@@ -94,6 +96,9 @@
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.retry_window = settings.retry_window;
+  options.prompt_placement = settings.prompt_placement;
+  options.use_cache_stores = settings.use_cache_stores;
+  options.limit_admission = settings.limit_admission;
   return options;
 }
 
@@ -428,6 +433,9 @@
   });
   const std::size_t daemons = 1 + (m_gossip ? m_gossip->LivePeers() : 0);
   const std::size_t rank = m_gossip ? m_gossip->Rank() : 0;
+  m_registry.SetPause(std::chrono::duration_cast<milliseconds>(
+      m_settings.drain_limit *
+      (daemons > kLargeFleet ? kLargeFleetRegistryShare : kRegistryShare)));
   for (const auto& [address, store] : stores) {
     const auto [follower, added] = m_cache_stores.try_emplace(
         address, m_loop, m_clock, m_engines, m_host, m_log, address);
