--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -88,6 +88,7 @@
     std::string last_event;
     MonotonicTime received_at{};
     MonotonicTime first_event_at{};  ///< When it was passed on; see `begun`.
+    MonotonicTime last_event_at{};
     bool streaming = false;  ///< The answer is passed on event by event.
     bool begun = false;      ///< The caller has the head of the answer.
   };
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -251,7 +251,12 @@
     m_metrics.Observe(telemetry::Latency::kTimeToFirstToken,
                       serving::Priority::kInteractive,
                       m_clock.Now() - running.received_at);
+  } else {
+    m_metrics.Observe(telemetry::Latency::kTokenGap,
+                      serving::Priority::kInteractive,
+                      m_clock.Now() - running.last_event_at);
   }
+  running.last_event_at = m_clock.Now();
   if (!event.id.empty()) {
     running.last_event = std::string(event.id);
   }
@@ -368,6 +373,9 @@
     running.exchange->End();
     return;
   }
+  m_metrics.Observe(telemetry::Latency::kWholeAnswer,
+                    serving::Priority::kInteractive,
+                    m_clock.Now() - running.received_at);
   running.exchange->Send(running.head.status,
                          platform::CallerHeaders(running.head.headers),
                          running.body);
--- a/packages/telemetry/include/jasminehatch/detail/telemetry/metrics.h
+++ b/packages/telemetry/include/jasminehatch/detail/telemetry/metrics.h
@@ -16,7 +16,13 @@
 namespace jasminehatch::telemetry {
 
 /// @brief Kinds of latency that are measured per priority class.
-enum class Latency { kTimeToFirstToken, kTokenGap, kQueueWait, kCount };
+enum class Latency {
+  kTimeToFirstToken,
+  kTokenGap,
+  kQueueWait,
+  kWholeAnswer,  ///< From a request without a stream to its answer.
+  kCount
+};
 
 inline constexpr std::size_t kLatencyCount =
     static_cast<std::size_t>(Latency::kCount);
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -12,7 +12,8 @@
 constexpr double kHighest = 1e2;
 
 constexpr std::array<std::string_view, kLatencyCount> kLatencyNames{
-    "time_to_first_token_seconds", "token_gap_seconds", "queue_wait_seconds"};
+    "time_to_first_token_seconds", "token_gap_seconds", "queue_wait_seconds",
+    "whole_answer_seconds"};
 
 void Line(std::string& text,
           std::string_view name,
