--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -164,10 +164,12 @@
   const udp::endpoint endpoint(asio::ip::make_address(parsed->ip, error),
                                parsed->port);
   Peer& peer = m_peers[name];
-  if (error || incarnation < peer.incarnation) {
+  // A daemon whose calendar clock went back may start again with a lower
+  // number; the one before is silent then.
+  if (error || (incarnation < peer.incarnation && Live(peer))) {
     return;
   }
-  if (incarnation > peer.incarnation) {
+  if (incarnation != peer.incarnation) {
     peer.sequence = 0;
     peer.sent_ms = 0;
   }
--- /dev/null
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -0,0 +1,107 @@
+#include <jasminehatch/emulator.h>
+#include <jasminehatch/net.h>
+#include <jasminehatch/platform.h>
+#include <jasminehatch/telemetry.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/detail/forwarder/peer_gossip.h"
+#include "jasminehatch/detail/testing/leak_detector_off.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace jasminehatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string FreeUdpAddress(asio::io_context& loop) {
+  const asio::ip::udp::socket socket(
+      loop, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+}
+
+/// @brief What two daemons share: the loop and the platform's store.
+struct Scene {
+  asio::io_context loop;
+  emulator::PlatformEmulator platform{loop};
+  net::BootClock clock;
+  net::HttpClient http{loop};
+  net::StreamClient client{loop, {}};
+  platform::StoreClient store{http, platform.Address()};
+  telemetry::DecisionLog log{-1, clock, {}};
+  telemetry::Metrics metrics;
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      loop.restart();
+      loop.run_for(5ms);
+    }
+    return true;
+  }
+};
+
+/// @brief A daemon, as far as gossip is concerned.
+struct Node {
+  Node(Scene& scene,
+       const std::string& name,
+       const std::string& address,
+       std::uint64_t incarnation)
+      : host(scene.loop,
+             scene.clock,
+             scene.client,
+             scene.log,
+             scene.metrics,
+             {}),
+        gossip(scene.loop,
+               scene.clock,
+               scene.store,
+               host,
+               scene.log,
+               {name, "a", address, incarnation}) {
+    gossip.Start();
+  }
+  ~Node() { gossip.Stop(); }
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  daemon::ForwardingHost host;
+  daemon::PeerGossip gossip;
+};
+
+}  // namespace
+
+TEST_GROUP_BASE(PeerGossip, jasminehatch::testing::LeakDetectorOff){};
+
+// Guards against daemons that do not find each other, and against one that is
+// not heard any more after it started again with its clock set back.
+TEST(PeerGossip, DaemonsHearEachOtherAlsoAfterAClockWentBack) {
+  Scene scene;
+  const std::string address = FreeUdpAddress(scene.loop);
+  Node left(scene, "left", FreeUdpAddress(scene.loop), 5);
+  auto right = std::make_unique<Node>(scene, "right", address, 1000);
+  CHECK(scene.RunUntil([&] {
+    return left.gossip.LivePeers() == 1 && right->gossip.LivePeers() == 1;
+  }));
+  UNSIGNED_LONGS_EQUAL(0, left.gossip.Rank());
+  UNSIGNED_LONGS_EQUAL(1, right->gossip.Rank());
+  right->gossip.Announce(forwarding::CrashReport{1, 2});
+  CHECK(scene.RunUntil([&] { return left.host.State().crashes.Size() == 1; }));
+  right->gossip.Stop();
+  // Callbacks of its last calls to the store still refer to it.
+  scene.RunUntil([&] { return left.gossip.LivePeers() == 0; });
+  right = std::make_unique<Node>(scene, "right", address, 900);
+  CHECK(scene.RunUntil([&] { return left.gossip.LivePeers() == 1; }));
+  right->gossip.Announce(forwarding::CrashReport{3, 4});
+  CHECK(scene.RunUntil([&] { return left.host.State().crashes.Size() == 2; }));
+}
