--- a/packages/soak/include/jasminehatch/detail/soak/soak_run.h
+++ b/packages/soak/include/jasminehatch/detail/soak/soak_run.h
@@ -36,7 +36,7 @@
     std::size_t upstreams = 4;
     double requests_per_second = 80;
     /// Most memory that a daemon may use, in KiB: that of the smallest VM.
-    std::uint64_t memory_limit_kib = 88 * 1024;
+    std::uint64_t memory_limit_kib = std::uint64_t{88} * 1024;
   };
 
   explicit SoakRun(const Options& options);
