--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -138,9 +138,13 @@
                         PromptOrder& order) {
   const Upstream& upstream = *placement.upstream;
   const std::string& model = request.arrival.prompt->model;
+  // While newer weights spread, runs that go on over a change may leave parts
+  // that are made on both.
+  const auto named = m_state.upstreams.Named(model);
   const bool elsewhere =
       placement.home != nullptr && placement.home != &upstream &&
-      placement.home->Weights(model) == order.expected_version;
+      placement.home->Weights(model) == order.expected_version &&
+      (!named || named->version <= order.expected_version);
   const auto& parts = request.arrival.prompt->parts;
   order.fetch.resize(parts.size());
   order.save.resize(parts.size());
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -409,6 +409,11 @@
   STRCMP_EQUAL("10.0.0.1:80", second.prompt->fetch.at(1).c_str());
   // The last part is the request's own.
   CHECK(second.prompt->fetch.back().empty());
+  // Parts of replaced weights may have been made across the change.
+  world.Apply(WeightsNamed{"m", 2});
+  const StartAttempt old = OnlyStart(world.Send("/prompt/"));
+  STRCMP_EQUAL(second.upstream.c_str(), old.upstream.c_str());
+  CHECK(old.prompt->fetch.at(1).empty());
   // An engine with other weights has none of them.
   world.Apply(WeightsObserved{first.upstream, "m", 2});
   const StartAttempt third = OnlyStart(world.Send("/prompt/"));
