Free only parts of weights that newer named ones have replaced

Weights count as replaced only when newer ones were named, no known engine has them, and the registry was read within three seconds.

--- a/packages/core/include/jasminehatch/detail/forwarding/cache_stores.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/cache_stores.h
@@ -16,6 +16,8 @@
 
 namespace jasminehatch::forwarding {
 
+class UpstreamDirectory;
+
 /// @brief What the cache stores are known to hold.
 ///
 /// A part is known as whole only from what the store itself says, within one
@@ -59,12 +61,10 @@
                            std::uint32_t tokens,
                            MonotonicTime now);
 
-  /// @return the parts of a store whose salt is not among `salts_in_use`, at
-  /// most `limit`
-  std::vector<CachedPart> Unused(
-      const Store& store,
-      const std::vector<std::string>& salt_prefixes_in_use,
-      std::size_t limit) const;
+  /// @return the parts of a store whose weights were replaced, at most `limit`
+  std::vector<CachedPart> Unused(const Store& store,
+                                 const UpstreamDirectory& upstreams,
+                                 std::size_t limit) const;
 
   const std::map<std::string, Store>& All() const { return m_stores; }
 
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -64,9 +65,10 @@
   /// @return the newest weights of the model, if any were named
   std::optional<NamedWeights> Named(const std::string& model) const;
 
-  /// @return the beginnings of the salts of all weights that an upstream has,
-  /// or that were named
-  std::vector<std::string> SaltPrefixesInUse() const;
+  /// @return whether a salt is of weights that newer named ones have replaced
+  /// at all upstreams. Weights of which nothing newer is known are in use, also
+  /// where no upstream is known to have them.
+  bool AreReplaced(std::string_view salt) const;
 
   /// @return the version below which no request may start: the newest one that
   /// was named at least `limit` ago, or 0
--- a/packages/core/src/forwarding/cache_stores.cc
+++ b/packages/core/src/forwarding/cache_stores.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "jasminehatch/detail/forwarding/stable_hash.h"
+#include "jasminehatch/detail/forwarding/upstream_directory.h"
 
 namespace jasminehatch::forwarding {
 namespace {
@@ -179,16 +180,12 @@
   return best->spec.address;
 }
 
-std::vector<CachedPart> CacheStores::Unused(
-    const Store& store,
-    const std::vector<std::string>& salt_prefixes_in_use,
-    std::size_t limit) const {
+std::vector<CachedPart> CacheStores::Unused(const Store& store,
+                                            const UpstreamDirectory& upstreams,
+                                            std::size_t limit) const {
   std::vector<CachedPart> unused;
   for (const auto& [salt, parts] : store.parts) {
-    if (std::any_of(salt_prefixes_in_use.begin(), salt_prefixes_in_use.end(),
-                    [&salt = salt](const std::string& prefix) {
-                      return salt.starts_with(prefix);
-                    })) {
+    if (!upstreams.AreReplaced(salt)) {
       continue;
     }
     for (const auto& [id, tokens] : parts) {
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -1,6 +1,7 @@
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 
 namespace jasminehatch::forwarding {
@@ -131,17 +132,26 @@
          (m_removals_wait_until && now < *m_removals_wait_until);
 }
 
-std::vector<std::string> UpstreamDirectory::SaltPrefixesInUse() const {
-  std::set<std::string> prefixes;
+bool UpstreamDirectory::AreReplaced(std::string_view salt) const {
   for (const auto& [model, versions] : m_named) {
-    prefixes.insert(SaltPrefix(model, versions.back().version));
-  }
-  for (const auto& [id, upstream] : m_upstreams) {
-    for (const auto& [model, version] : upstream->entry.weights) {
-      prefixes.insert(SaltPrefix(model, version));
+    if (!salt.starts_with(model + "/")) {
+      continue;
+    }
+    const std::string_view rest = salt.substr(model.size() + 1);
+    std::uint64_t version = 0;
+    const auto [end, error] =
+        std::from_chars(rest.data(), rest.data() + rest.size(), version);
+    if (error != std::errc() || end == rest.data() + rest.size() ||
+        *end != '/') {
+      continue;
     }
+    return version < versions.back().version &&
+           std::none_of(m_upstreams.begin(), m_upstreams.end(),
+                        [&](const auto& entry) {
+                          return entry.second->Weights(model) == version;
+                        });
   }
-  return {prefixes.begin(), prefixes.end()};
+  return false;
 }
 
 std::optional<UpstreamDirectory::NamedWeights> UpstreamDirectory::Named(
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -216,10 +216,26 @@
                             7,
                             {{true, {"m/1/", "p", 100}},
                              {true, {"m/1/w", "p", 100}},
-                             {true, {"m/12/", "p", 100}}}});
+                             {true, {"m/12/", "p", 100}},
+                             {true, {"m2/1/", "p", 100}}}});
   const auto& store = stores.All().begin()->second;
-  UNSIGNED_LONGS_EQUAL(1, stores.Unused(store, {"m/1/"}, 10).size());
-  UNSIGNED_LONGS_EQUAL(2, stores.Unused(store, {"m/12/"}, 10).size());
+  const auto unused = [&](const UpstreamDirectory& upstreams) {
+    return stores.Unused(store, upstreams, 10).size();
+  };
+  // A daemon that knows no engines yet frees nothing.
+  UpstreamDirectory upstreams;
+  UNSIGNED_LONGS_EQUAL(0, unused(upstreams));
+  upstreams.NameWeights({"m", 1, false}, now);
+  UNSIGNED_LONGS_EQUAL(0, unused(upstreams));
+  upstreams.NameWeights({"m", 12, true}, now);
+  UNSIGNED_LONGS_EQUAL(2, unused(upstreams));
+  UpstreamEntry entry;
+  entry.id = "e1";
+  entry.weights["m"] = 1;
+  upstreams.Register(entry);
+  UNSIGNED_LONGS_EQUAL(0, unused(upstreams));
+  upstreams.ObserveWeights({"e1", "m", 12});
+  UNSIGNED_LONGS_EQUAL(2, unused(upstreams));
 }
 
 // Guards against a fleet in which what was not heard counts as idle.
--- a/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
@@ -48,6 +48,10 @@
     m_rank = rank;
   }
 
+  /// Allows parts to be freed for a while, since the registry was just read:
+  /// engines that are not known may still use replaced weights.
+  void MayFreeUntil(MonotonicTime until) { m_may_free_until = until; }
+
   /// Frees parts of replaced weights once no fetch of them can run.
   void FreeUnused();
 
@@ -72,6 +76,7 @@
   std::uint64_t m_clock_ms = 0;  ///< Shared clock at the last answer.
   MonotonicTime m_clock_at{};
   std::optional<MonotonicTime> m_unused_since;
+  MonotonicTime m_may_free_until{};
   std::size_t m_daemons = 1;
   std::size_t m_rank = 0;
   bool m_reachable = true;
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -138,11 +138,12 @@
   const forwarding::State& state = m_host.State();
   const auto store = state.stores.All().find(m_address);
   if (store == state.stores.All().end() || !store->second.spec.managed_here ||
-      m_clock_ms == 0) {
+      m_clock_ms == 0 || m_clock.Now() > m_may_free_until) {
+    m_unused_since.reset();
     return;
   }
-  const auto in_use = state.upstreams.SaltPrefixesInUse();
-  const auto unused = state.stores.Unused(store->second, in_use, kFreeLimit);
+  const auto unused =
+      state.stores.Unused(store->second, state.upstreams, kFreeLimit);
   if (unused.empty()) {
     m_unused_since.reset();
     return;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -58,6 +58,9 @@
 /// The same in a large fleet, where the calls of all daemons add up.
 constexpr double kLargeFleetRegistryShare = 0.55;
 
+/// How long a read of the registry counts as current.
+constexpr milliseconds kRegistryCurrent{3000};
+
 /// Failed reads of the registry after which its removals may only be entries
 /// that could not be renewed.
 constexpr milliseconds kRegistryOutage{800};
@@ -246,6 +249,7 @@
   bool m_stopping = false;
   bool m_accepting = true;
   bool m_registry_read = false;
+  MonotonicTime m_registry_current_until{};
 };
 
 void Forwarder::Impl::Listen(asio::io_context& loop) {
@@ -440,6 +444,7 @@
     const auto [follower, added] = m_cache_stores.try_emplace(
         address, m_loop, m_clock, m_engines, m_host, m_log, address);
     follower->second.SetDaemons(daemons, rank);
+    follower->second.MayFreeUntil(m_registry_current_until);
     follower->second.FreeUnused();
     if (added) {
       follower->second.Start();
@@ -463,6 +468,7 @@
     m_registry_read = true;
     m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
   }
+  m_registry_current_until = m_clock.Now() + kRegistryCurrent;
   m_rollout.Update();
   FollowStores();
 }
