--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -133,7 +133,8 @@
 }
 
 bool UpstreamDirectory::AreReplaced(std::string_view salt) const {
-  for (const auto& [model, versions] : m_named) {
+  for (const auto& named : m_named) {
+    const std::string& model = named.first;
     if (!salt.starts_with(model + "/")) {
       continue;
     }
@@ -145,7 +146,7 @@
         *end != '/') {
       continue;
     }
-    return version < versions.back().version &&
+    return version < named.second.back().version &&
            std::none_of(m_upstreams.begin(), m_upstreams.end(),
                         [&](const auto& entry) {
                           return entry.second->Weights(model) == version;
