--- a/packages/ctl/src/request_story.cc
+++ b/packages/ctl/src/request_story.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <istream>
 #include <set>
+#include <sstream>
 
 namespace jasminehatch::ctl {
 namespace {
@@ -38,6 +39,17 @@
          event == "stopping" || event == "upstream_removed";
 }
 
+/// @return the last word of a text, such as the machine that a log collector
+/// writes before a line; empty when there is none
+std::string LastWord(const std::string& text) {
+  std::istringstream words(text);
+  std::string last;
+  for (std::string word; words >> word;) {
+    last = word;
+  }
+  return last;
+}
+
 }  // namespace
 
 void RequestStory::Read(std::istream& log, const std::string& name) {
@@ -56,17 +68,8 @@
       continue;
     }
     line.time_ms = line.fields.value("time_ms", std::int64_t{0});
-    // The last word before the object names the machine.
-    const std::string before = text.substr(0, brace);
-    const std::size_t end = before.find_last_not_of(' ');
-    const std::size_t start =
-        end == std::string::npos ? end : before.find_last_of(' ', end);
-    line.source =
-        end == std::string::npos
-            ? name
-            : before.substr(
-                  start == std::string::npos ? 0 : start + 1,
-                  end - (start == std::string::npos ? 0 : start + 1) + 1);
+    const std::string machine = LastWord(text.substr(0, brace));
+    line.source = machine.empty() ? name : machine;
     if (line.fields.contains("lines_left_out")) {
       m_thinned.push_back(line);
     }
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -116,7 +116,7 @@
     MonotonicTime until{};
   };
 
-  bool Live(const Peer& peer) const;
+  static bool Live(const Peer& peer, MonotonicTime now);
   void Register();
   void ReadPeers();
   void AddPeer(const std::string& name,
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -166,7 +166,7 @@
   Peer& peer = m_peers[name];
   // A daemon whose calendar clock went back may start again with a lower
   // number; the one before is silent then.
-  if (error || (incarnation < peer.incarnation && Live(peer))) {
+  if (error || (incarnation < peer.incarnation && Live(peer, m_clock.Now()))) {
     return;
   }
   if (incarnation != peer.incarnation) {
@@ -265,20 +265,22 @@
   return {std::move(near), std::move(far)};
 }
 
-bool PeerGossip::Live(const Peer& peer) const {
-  return peer.heard && m_clock.Now() - peer.heard_at <= kHeardAge;
+bool PeerGossip::Live(const Peer& peer, MonotonicTime now) {
+  return peer.heard && now - peer.heard_at <= kHeardAge;
 }
 
 std::size_t PeerGossip::LivePeers() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_peers.begin(), m_peers.end(),
-                    [this](const auto& entry) { return Live(entry.second); }));
+  const MonotonicTime now = m_clock.Now();
+  return static_cast<std::size_t>(std::count_if(
+      m_peers.begin(), m_peers.end(),
+      [now](const auto& entry) { return Live(entry.second, now); }));
 }
 
 std::size_t PeerGossip::Rank() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_peers.begin(), m_peers.lower_bound(m_options.daemon),
-                    [this](const auto& entry) { return Live(entry.second); }));
+  const MonotonicTime now = m_clock.Now();
+  return static_cast<std::size_t>(std::count_if(
+      m_peers.begin(), m_peers.lower_bound(m_options.daemon),
+      [now](const auto& entry) { return Live(entry.second, now); }));
 }
 
 void PeerGossip::Send() {
--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -43,16 +42,6 @@
          R"("tenants":[{"name":"t1","apiKeys":[")" + key + R"("]}]})";
 }
 
-std::uint16_t FreePort(asio::io_context& loop) {
-  asio::ip::tcp::acceptor acceptor(
-      loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
-}
-
-std::string OnLoopback(std::uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
 /// @brief What a caller got.
 struct Answer {
   bool ended = false;
@@ -76,8 +65,8 @@
     }
     m_settings.name = "e1";
     m_settings.zone = "a";
-    m_settings.address = OnLoopback(FreePort(m_loop));
-    m_settings.ready_address = OnLoopback(FreePort(m_loop));
+    m_settings.address = emulator::FreeTcpAddress(m_loop);
+    m_settings.ready_address = emulator::FreeTcpAddress(m_loop);
     m_settings.store_address = m_platform.Address();
     m_settings.stop_grace = std::chrono::seconds(4);
     m_settings.revoke_limit = std::chrono::milliseconds(2500);
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -4,7 +4,6 @@
 #include <jasminehatch/telemetry.h>
 
 #include <asio/io_context.hpp>
-#include <asio/ip/udp.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -20,12 +19,6 @@
 
 namespace {
 
-std::string FreeUdpAddress(asio::io_context& loop) {
-  const asio::ip::udp::socket socket(
-      loop, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
-}
-
 /// @brief What two daemons share: the loop and the platform's store.
 struct Scene {
   asio::io_context loop;
@@ -87,8 +80,8 @@
 // not heard any more after it started again with its clock set back.
 TEST(PeerGossip, DaemonsHearEachOtherAlsoAfterAClockWentBack) {
   Scene scene;
-  const std::string address = FreeUdpAddress(scene.loop);
-  Node left(scene, "left", FreeUdpAddress(scene.loop), 5);
+  const std::string address = emulator::FreeUdpAddress(scene.loop);
+  Node left(scene, "left", emulator::FreeUdpAddress(scene.loop), 5);
   auto right = std::make_unique<Node>(scene, "right", address, 1000);
   CHECK(scene.RunUntil([&] {
     return left.gossip.LivePeers() == 1 && right->gossip.LivePeers() == 1;
--- a/packages/emulator/include/jasminehatch/emulator.h
+++ b/packages/emulator/include/jasminehatch/emulator.h
@@ -6,6 +6,7 @@
 /// experiments. Not shipped.
 
 #include "jasminehatch/detail/emulator/engine_emulator.h"
+#include "jasminehatch/detail/emulator/free_address.h"
 #include "jasminehatch/detail/emulator/log_emulator.h"
 #include "jasminehatch/detail/emulator/platform_emulator.h"
 #include "jasminehatch/detail/emulator/platform_upstream.h"
--- a/packages/soak/src/soak_run.cc
+++ b/packages/soak/src/soak_run.cc
@@ -35,12 +35,6 @@
   return "id: " + std::to_string(number) + "\ndata: x\n\n";
 }
 
-std::string FreeAddress(asio::io_context& loop) {
-  const asio::ip::tcp::acceptor acceptor(
-      loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 }  // namespace
 
 SoakRun::SoakRun(const Options& options)
@@ -63,9 +57,9 @@
   for (std::size_t i = 0; i < m_daemons.size(); ++i) {
     Daemon& daemon = m_daemons[i];
     daemon.name = "entry-" + std::to_string(i);
-    daemon.address = FreeAddress(m_loop);
-    daemon.ready_address = FreeAddress(m_loop);
-    daemon.peer_address = FreeAddress(m_loop);
+    daemon.address = emulator::FreeTcpAddress(m_loop);
+    daemon.ready_address = emulator::FreeTcpAddress(m_loop);
+    daemon.peer_address = emulator::FreeUdpAddress(m_loop);
     daemon.settings_file = m_options.work_dir + "/" + daemon.name + ".ini";
     daemon.store_link =
         std::make_unique<LoopbackProxy>(m_loop, m_platform.Address());
