Reject numbers out of range in every decoder

Cause: nlohmann's get() converts as a cast does, which is undefined outside the range of the type (fuzz_gossip: 8.45755e+141 to int).

Times that overflow the clock's nanoseconds are refused as well.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -22,6 +22,8 @@
 
 /// @brief A gossip message from one daemon to another.
 struct GossipMessage {
+  static constexpr double kMaxCapacity = 1e6;
+
   std::string daemon;
   std::string address;  ///< `ip:port` of the sender.
   std::string zone;
@@ -39,6 +41,9 @@
   /// without a proof.
   std::optional<std::uint64_t> freshness_proof_age_ms;
   std::vector<forwarding::UpstreamLoad> loads;
+  /// Relative processing capacity of the VM; only daemons that relay feeds
+  /// report it.
+  std::optional<double> capacity;
   bool covers_zone = false;  ///< `loads` are sums over all daemons of `zone`.
   std::vector<WeightsUpdate> weights_updates;
   std::vector<forwarding::CrashReport> crash_reports;
--- a/packages/codec/src/json/read_integer.h
+++ b/packages/codec/include/jasminehatch/detail/json/read_integer.h
@@ -1,5 +1,5 @@
-#ifndef JASMINEHATCH_CODEC_SRC_JSON_READ_INTEGER_H_
-#define JASMINEHATCH_CODEC_SRC_JSON_READ_INTEGER_H_
+#ifndef JASMINEHATCH_DETAIL_JSON_READ_INTEGER_H_
+#define JASMINEHATCH_DETAIL_JSON_READ_INTEGER_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -36,17 +36,33 @@
 /// Latest time that nanoseconds since 1970 can hold, with a margin, in seconds.
 inline constexpr std::int64_t kMaxSeconds = 9'000'000'000;
 
-/// @return a time or a time span in seconds that fits the clocks' nanoseconds
+/// Latest time as `kMaxSeconds`, in milliseconds.
+inline constexpr std::int64_t kMaxMilliseconds = kMaxSeconds * 1000;
+
+/// @return a whole number from 0 to `max`
 /// @throw nlohmann::json::type_error 302 for anything else
-inline std::int64_t ReadSeconds(const nlohmann::json& value) {
-  const auto seconds = ReadInteger<std::int64_t>(value);
-  if (seconds < 0 || seconds > kMaxSeconds) {
+inline std::int64_t ReadTime(const nlohmann::json& value, std::int64_t max) {
+  const auto time = ReadInteger<std::int64_t>(value);
+  if (time < 0 || time > max) {
     throw nlohmann::json::type_error::create(302, "must be a time in range",
                                              &value);
   }
-  return seconds;
+  return time;
+}
+
+/// @return a time or a time span in seconds that fits the clocks' nanoseconds
+/// @throw nlohmann::json::type_error 302 for anything else
+inline std::int64_t ReadSeconds(const nlohmann::json& value) {
+  return ReadTime(value, kMaxSeconds);
+}
+
+/// @return a time or a time span in milliseconds that fits the clocks'
+/// nanoseconds
+/// @throw nlohmann::json::type_error 302 for anything else
+inline std::uint64_t ReadMilliseconds(const nlohmann::json& value) {
+  return static_cast<std::uint64_t>(ReadTime(value, kMaxMilliseconds));
 }
 
 }  // namespace jasminehatch::codec
 
-#endif  // JASMINEHATCH_CODEC_SRC_JSON_READ_INTEGER_H_
+#endif  // JASMINEHATCH_DETAIL_JSON_READ_INTEGER_H_
--- a/packages/codec/src/json/config_record.cc
+++ b/packages/codec/src/json/config_record.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "jasminehatch/detail/base/exception.h"
+#include "jasminehatch/detail/json/read_integer.h"
 #include "jasminehatch/detail/json/log_record.h"
 
 namespace jasminehatch::codec {
@@ -41,12 +42,12 @@
   try {
     const json document = json::parse(record);
     config::SnapshotPart part;
-    part.covers = document.at("snapshot").get<std::uint64_t>();
-    part.version = document.at("version").get<std::uint64_t>();
-    part.part = document.at("part").get<std::uint32_t>();
-    part.count = document.at("count").get<std::uint32_t>();
+    part.covers = ReadInteger<std::uint64_t>(document.at("snapshot"));
+    part.version = ReadInteger<std::uint64_t>(document.at("version"));
+    part.part = ReadInteger<std::uint32_t>(document.at("part"));
+    part.count = ReadInteger<std::uint32_t>(document.at("count"));
     part.written = WallTime(
-        std::chrono::seconds(document.at("written").get<std::int64_t>()));
+        std::chrono::seconds(ReadSeconds(document.at("written"))));
     for (const json& entry : document.at("entries")) {
       part.entries.emplace_back(config::EntryId{entry.at(0).get<std::string>(),
                                                 entry.at(1).get<std::string>()},
@@ -54,7 +55,7 @@
     }
     for (const json& outcome : document.at("outcomes")) {
       part.outcomes.push_back({outcome.at(0).get<std::string>(),
-                               outcome.at(1).get<std::uint64_t>(),
+                               ReadInteger<std::uint64_t>(outcome.at(1)),
                                outcome.at(2).get<bool>()});
     }
     return part;
@@ -118,11 +119,11 @@
     for (const json& part : document.at("snapshot")) {
       page.snapshot.push_back(DecodeSnapshotPart(part.get<std::string>()));
     }
-    page.page.from = document.at("from").get<std::uint64_t>();
-    page.page.next = document.at("next").get<std::uint64_t>();
+    page.page.from = ReadInteger<std::uint64_t>(document.at("from"));
+    page.page.next = ReadInteger<std::uint64_t>(document.at("next"));
     for (const json& record : document.at("records")) {
       page.page.records.push_back(DecodeConfigRecord(
-          record.at(0).get<std::uint64_t>(), record.at(1).get<std::string>()));
+          ReadInteger<std::uint64_t>(record.at(0)), record.at(1).get<std::string>()));
     }
     return page;
   } catch (const json::exception& error) {
--- a/packages/codec/src/json/engine_chunk.cc
+++ b/packages/codec/src/json/engine_chunk.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminehatch/detail/base/exception.h"
-#include "read_integer.h"
+#include "jasminehatch/detail/json/read_integer.h"
 
 namespace jasminehatch::codec {
 namespace {
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminehatch/detail/base/exception.h"
+#include "jasminehatch/detail/json/read_integer.h"
 
 namespace jasminehatch::codec {
 namespace {
@@ -13,13 +14,25 @@
 constexpr int kFormatVersion = 2;
 
 forwarding::UpstreamLoad DecodeLoad(const json& entry) {
-  return {entry.at(0).get<std::uint32_t>(), entry.at(1).get<std::uint32_t>(),
-          entry.at(2).get<std::uint64_t>()};
+  return {ReadInteger<std::uint32_t>(entry.at(0)), ReadInteger<std::uint32_t>(entry.at(1)),
+          ReadInteger<std::uint64_t>(entry.at(2))};
+}
+
+/// Later daemons append the capacity, which earlier ones ignore.
+constexpr std::size_t kCapacityIndex = 14;
+
+double DecodeCapacity(const json& value) {
+  const double capacity = value.is_number() ? value.get<double>() : 0;
+  // Daemons compare capacities, so NaN must not occur.
+  if (!(capacity > 0 && capacity <= GossipMessage::kMaxCapacity)) {
+    throw CodecError(236, "a gossip message with an invalid capacity");
+  }
+  return capacity;
 }
 
 WeightsUpdate DecodeWeightsUpdate(const json& entry) {
   return {entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
-          entry.at(2).get<std::uint64_t>(), entry.at(3).get<bool>()};
+          ReadInteger<std::uint64_t>(entry.at(2)), entry.at(3).get<bool>()};
 }
 
 }  // namespace
@@ -45,7 +58,7 @@
        std::move(encoded_loads), std::move(encoded_updates), sent_ms, echo_ms,
        operator_end_offset,
        freshness_proof_age_ms ? json(*freshness_proof_age_ms) : json(),
-       std::move(encoded_crashes), covers_zone});
+       std::move(encoded_crashes), covers_zone, capacity ? json(*capacity) : json()});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -54,32 +67,36 @@
 GossipMessage GossipMessage::Decode(std::string_view bytes) {
   try {
     const json message = json::from_msgpack(bytes);
-    if (message.at(0).get<int>() != kFormatVersion) {
+    if (ReadInteger<int>(message.at(0)) != kFormatVersion) {
       throw CodecError(236, "a gossip message of an unknown format");
     }
     GossipMessage decoded;
     decoded.daemon = message.at(1).get<std::string>();
     decoded.address = message.at(2).get<std::string>();
     decoded.zone = message.at(3).get<std::string>();
-    decoded.incarnation = message.at(4).get<std::uint64_t>();
-    decoded.sequence = message.at(5).get<std::uint64_t>();
+    decoded.incarnation = ReadInteger<std::uint64_t>(message.at(4));
+    decoded.sequence = ReadInteger<std::uint64_t>(message.at(5));
     for (const json& entry : message.at(6)) {
       decoded.loads.push_back(DecodeLoad(entry));
     }
     for (const json& entry : message.at(7)) {
       decoded.weights_updates.push_back(DecodeWeightsUpdate(entry));
     }
-    decoded.sent_ms = message.at(8).get<std::uint64_t>();
-    decoded.echo_ms = message.at(9).get<std::uint64_t>();
-    decoded.operator_end_offset = message.at(10).get<std::uint64_t>();
+    decoded.sent_ms = ReadMilliseconds(message.at(8));
+    decoded.echo_ms = ReadMilliseconds(message.at(9));
+    decoded.operator_end_offset = ReadInteger<std::uint64_t>(message.at(10));
     if (!message.at(11).is_null()) {
-      decoded.freshness_proof_age_ms = message.at(11).get<std::uint64_t>();
+      decoded.freshness_proof_age_ms = ReadMilliseconds(message.at(11));
     }
     for (const json& entry : message.at(12)) {
       decoded.crash_reports.push_back(
-          {entry.at(0).get<std::uint64_t>(), entry.at(1).get<std::uint64_t>()});
+          {ReadInteger<std::uint64_t>(entry.at(0)), ReadInteger<std::uint64_t>(entry.at(1))});
     }
     decoded.covers_zone = message.at(13).get<bool>();
+    if (message.size() > kCapacityIndex &&
+        !message.at(kCapacityIndex).is_null()) {
+      decoded.capacity = DecodeCapacity(message.at(kCapacityIndex));
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
@@ -97,7 +114,7 @@
     const json document = json::parse(text);
     return {document.at("address").get<std::string>(),
             document.at("zone").get<std::string>(),
-            document.at("incarnation").get<std::uint64_t>()};
+            ReadInteger<std::uint64_t>(document.at("incarnation"))};
   } catch (const json::exception& error) {
     throw CodecError(237,
                      std::string("not a daemon's address: ") + error.what());
--- a/packages/codec/src/json/lease_json.cc
+++ b/packages/codec/src/json/lease_json.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminehatch/detail/base/exception.h"
+#include "jasminehatch/detail/json/read_integer.h"
 
 namespace jasminehatch::codec {
 
@@ -21,9 +22,9 @@
     lease::LeaseRecord record;
     record.group = document.at("group").get<std::string>();
     record.holder.daemon = document.at("daemon").get<std::string>();
-    record.holder.incarnation = document.at("incarnation").get<std::uint64_t>();
-    record.nonce = document.at("nonce").get<std::uint64_t>();
-    record.base = document.at("base").get<std::uint64_t>();
+    record.holder.incarnation = ReadInteger<std::uint64_t>(document.at("incarnation"));
+    record.nonce = ReadInteger<std::uint64_t>(document.at("nonce"));
+    record.base = ReadInteger<std::uint64_t>(document.at("base"));
     return record;
   } catch (const nlohmann::json::exception& error) {
     throw CodecError(230, std::string("not a lease record: ") + error.what());
--- a/packages/codec/src/json/log_record.cc
+++ b/packages/codec/src/json/log_record.cc
@@ -6,7 +6,7 @@
 
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/hash/sha256.h"
-#include "read_integer.h"
+#include "jasminehatch/detail/json/read_integer.h"
 
 namespace jasminehatch::codec {
 namespace {
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -1,6 +1,10 @@
 #include <jasminehatch/codec.h>
 
+#include <cstdint>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
@@ -25,6 +29,34 @@
   return 0;
 }
 
+/// @return a gossip message with a value in each of its lists
+GossipMessage CompleteMessage() {
+  GossipMessage message;
+  message.daemon = "e1";
+  message.freshness_proof_age_ms = 10;
+  message.loads = {{11, 12, 13}};
+  message.weights_updates = {{"u", "m", 14, true}};
+  message.crash_reports = {{15, 16}};
+  return message;
+}
+
+/// @return every value of a number or list element in the document, replaced
+/// one at a time
+std::vector<nlohmann::json> ReplaceEachNumber(
+    const nlohmann::json& document,
+    const nlohmann::json& replacement) {
+  std::vector<nlohmann::json> variants;
+  const nlohmann::json flat = document.flatten();
+  for (const auto& [pointer, value] : flat.items()) {
+    if (value.is_number()) {
+      nlohmann::json variant = document;
+      variant[nlohmann::json::json_pointer(pointer)] = replacement;
+      variants.push_back(std::move(variant));
+    }
+  }
+  return variants;
+}
+
 }  // namespace
 
 TEST_GROUP_BASE(ForwarderCodec, jasminehatch::testing::LeakDetectorOff){};
@@ -86,6 +118,41 @@
   CHECK_THROWS(CodecError, DaemonAddress::Decode("[]"));
 }
 
+// Guards against conversions of numbers outside the range of their type, which
+// are undefined.
+TEST(ForwarderCodec, NumbersOutOfRangeAreRejected) {
+  std::string bytes = CompleteMessage().Encode();
+  const auto message = nlohmann::json::from_msgpack(bytes);
+  for (const nlohmann::json& wrong :
+       {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
+        nlohmann::json("1")}) {
+    const auto variants = ReplaceEachNumber(message, wrong);
+    UNSIGNED_LONGS_EQUAL(13, variants.size());
+    for (const nlohmann::json& variant : variants) {
+      std::string encoded;
+      nlohmann::json::to_msgpack(variant, encoded);
+      CHECK_THROWS(CodecError, GossipMessage::Decode(encoded));
+    }
+  }
+  const auto lease = nlohmann::json::parse(
+      EncodeLease(lease::LeaseRecord{"weights", {"e1", 3}, 4, 5}));
+  for (const nlohmann::json& variant : ReplaceEachNumber(lease, 1e300)) {
+    CHECK_THROWS(CodecError, DecodeLease(variant.dump()));
+  }
+}
+
+// Guards against an overflow of the clock by a time that a peer reports.
+TEST(ForwarderCodec, TimesBeyondTheClockAreRejected) {
+  for (std::uint64_t GossipMessage::*field :
+       {&GossipMessage::sent_ms, &GossipMessage::echo_ms}) {
+    GossipMessage message = CompleteMessage();
+    message.*field = static_cast<std::uint64_t>(kMaxMilliseconds);
+    GossipMessage::Decode(message.Encode());
+    message.*field += 1;
+    CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
+  }
+}
+
 // Guards against a lease record whose holder changes in encoding or decoding.
 TEST(ForwarderCodec, LeasesRoundTrip) {
   const lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5};
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -43,6 +43,8 @@
   /// Start of the process; distinguishes restarts of one id.
   std::uint64_t started_at = 0;
   std::map<std::string, std::uint64_t> weights;  ///< Version by model.
+
+  friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
 
 /// An upstream registered or updated its entry.
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/relay/coordinator.h
@@ -0,0 +1,83 @@
+#ifndef JASMINEHATCH_DETAIL_RELAY_COORDINATOR_H_
+#define JASMINEHATCH_DETAIL_RELAY_COORDINATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/relay/feed_role.h"
+#include "jasminehatch/detail/relay/reader_ranking.h"
+
+namespace jasminehatch::relay {
+
+/// @brief Decides which daemon of a zone reads each feed, and whom this daemon
+/// polls for the feeds that others read.
+///
+/// Daemons agree without messages of their own: each chooses among the peers
+/// that it considers live. Two daemons that both read a feed are harmless, and
+/// a reader that does not answer is passed over. Nothing here bounds the age of
+/// what a follower knows: a feed reads by itself when that is too old.
+class Coordinator {
+ public:
+  /// @brief Feeds to ask a reader for.
+  struct Poll {
+    std::string reader;
+    std::uint64_t sequence = 0;  ///< Comes back with the answer.
+    std::vector<std::string> feeds;
+  };
+
+  /// @brief What to do now.
+  struct Plan {
+    std::map<std::string, FeedRole> roles;  ///< Of each feed.
+    std::vector<Poll> polls;
+  };
+
+  explicit Coordinator(ReaderCandidate self) : m_self(std::move(self)) {}
+
+  void AddFeed(const std::string& feed) { m_feeds.insert(feed); }
+  void RemoveFeed(const std::string& feed) { m_feeds.erase(feed); }
+
+  /// @brief Decides the roles and polls of one interval.
+  /// @param peers live daemons of the zone, without this one
+  Plan Tick(std::span<const ReaderCandidate> peers, MonotonicTime now);
+
+  /// @brief Asks the same reader again, because its answer was not complete.
+  Poll PollAgain(const std::string& reader,
+                 std::vector<std::string> feeds,
+                 MonotonicTime now);
+
+  /// @brief Records an answer.
+  /// @return when its poll was sent; nothing unless it answers the latest poll
+  /// of that reader, whose answer is still awaited
+  std::optional<MonotonicTime> OnAnswer(const std::string& reader,
+                                        std::uint64_t sequence);
+
+  /// @return the number of polls that got no answer in time
+  std::uint64_t UnansweredPolls() const { return m_unanswered; }
+
+ private:
+  struct Awaited {
+    std::uint64_t sequence = 0;
+    MonotonicTime sent_at{};
+  };
+
+  void PassOverSilentReaders(MonotonicTime now);
+  std::vector<ReaderCandidate> Candidates(
+      std::span<const ReaderCandidate> peers) const;
+
+  ReaderCandidate m_self;
+  std::set<std::string> m_feeds;
+  std::map<std::string, Awaited> m_awaited;  ///< By reader.
+  std::map<std::string, MonotonicTime> m_passed_over_until;  ///< By reader.
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_unanswered = 0;
+};
+
+}  // namespace jasminehatch::relay
+
+#endif  // JASMINEHATCH_DETAIL_RELAY_COORDINATOR_H_
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -11,6 +11,7 @@
 #include "jasminehatch/detail/json/config_record.h"
 #include "jasminehatch/detail/json/log_record.h"
 #include "jasminehatch/detail/json/peer_message.h"
+#include "jasminehatch/detail/json/read_integer.h"
 #include "jasminehatch/detail/reducer/state.h"
 #include "jasminehatch/detail/settings/daemon_settings.h"
 #include "jasminehatch/telemetry.h"
@@ -160,7 +161,7 @@
 std::string PeerLink::HandleConfigRecords(std::string_view params) const {
   const json document = json::parse(params);
   return codec::EncodePeerPage(m_context.state.config.reader.PageFrom(
-      document.at("from").get<std::uint64_t>(), kMaxRecords));
+      codec::ReadInteger<std::uint64_t>(document.at("from")), kMaxRecords));
 }
 
 std::string PeerLink::HandleAppendEntries(std::string_view params) {
