Hold signals back until the daemon handles them, and keep the soak's ports

The daemon of the product's own interface had no handler for SIGHUP at all: it logs a warning. Cause of soak_parallel: the port of a daemon that is down was free for any process.

--- a/packages/daemon/main/main.cc
+++ b/packages/daemon/main/main.cc
@@ -11,15 +11,13 @@
 #include <jasminehatch/telemetry.h>
 #include <unistd.h>
 
+#include <array>
 #include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
 #include <exception>
-#include <functional>
 #include <iostream>
 #include <string>
-#include <utility>
 
 DEFINE_string(settings, "", "INI file with the settings of this daemon");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -33,6 +31,8 @@
 
 constexpr int kExitUsage = 2;
 
+constexpr std::array kHandledSignals{SIGTERM, SIGINT, SIGHUP};
+
 /// @return an incarnation greater than those of all earlier processes with this
 /// name, unless the wall clock is set back by more than the time between two
 /// starts
@@ -41,24 +41,12 @@
                                     std::chrono::microseconds(1));
 }
 
-/// Calls `on_signal` with the number of each received signal.
-void OnSignals(asio::signal_set& signals, std::function<void(int)> on_signal) {
-  signals.async_wait([&signals, on_signal = std::move(on_signal)](
-                         const asio::error_code& error, int number) {
-    if (!error) {
-      on_signal(number);
-      OnSignals(signals, on_signal);
-    }
-  });
-}
-
 int RunForwarder(const std::string& file, const codec::IniDocument& document) {
   asio::io_context loop(1);
   const net::BootClock clock;
   daemon::Forwarder forwarder(loop, codec::ForwarderSettings::Read(document),
                               clock, NewIncarnation(clock), STDOUT_FILENO);
-  asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
-  OnSignals(signals, [&](int number) {
+  const net::SignalReceiver signals(loop, kHandledSignals, [&](int number) {
     if (number != SIGHUP) {
       forwarder.Stop([&] { loop.stop(); });
       return;
@@ -81,9 +69,14 @@
   daemon::Daemon daemon(loop, codec::DaemonSettings::Read(document), clock,
                         NewIncarnation(clock));
   std::cout << "listening on " << daemon.Port() << std::endl;
-  asio::signal_set signals(loop, SIGTERM, SIGINT);
-  OnSignals(signals,
-            [&](int /*number*/) { daemon.Stop([&] { loop.stop(); }); });
+  const net::SignalReceiver signals(loop, kHandledSignals, [&](int number) {
+    if (number == SIGHUP) {
+      telemetry::LogWarning("settings_not_read_again",
+                            {{"detail", "changes need a restart"}});
+      return;
+    }
+    daemon.Stop([&] { loop.stop(); });
+  });
   loop.run();
   return 0;
 }
@@ -118,12 +111,13 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  gflags::SetUsageMessage(
-      "forwards prompts and bookings to upstreams; "
-      "usage: jasminehatchd [--settings FILE]");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  telemetry::InitLogging(argv[0]);
   try {
+    net::BlockSignals(kHandledSignals);
+    gflags::SetUsageMessage(
+        "forwards prompts and bookings to upstreams; "
+        "usage: jasminehatchd [--settings FILE]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    telemetry::InitLogging(argv[0]);
     return Run();
   } catch (const std::exception& error) {
     std::cerr << error.what() << '\n';
--- a/packages/emulator/include/jasminehatch/detail/emulator/free_address.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/free_address.h
@@ -9,11 +9,14 @@
 
 namespace jasminehatch::emulator {
 
-/// @return `ip:port` on the loopback interface that no TCP server uses now
-std::string FreeTcpAddress(asio::io_context& loop);
+/// @return `ip:port` that no TCP server uses now; see `LoopbackHost` for ports
+/// that stay free
+std::string FreeTcpAddress(asio::io_context& loop,
+                           const std::string& ip = "127.0.0.1");
 
-/// @return `ip:port` on the loopback interface that no UDP socket uses now
-std::string FreeUdpAddress(asio::io_context& loop);
+/// @return `ip:port` that no UDP socket uses now
+std::string FreeUdpAddress(asio::io_context& loop,
+                           const std::string& ip = "127.0.0.1");
 
 }  // namespace jasminehatch::emulator
 
--- a/packages/emulator/src/free_address.cc
+++ b/packages/emulator/src/free_address.cc
@@ -7,23 +7,22 @@
 namespace jasminehatch::emulator {
 namespace {
 
-template <typename Socket>
-std::string LocalAddress(const Socket& socket) {
-  return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+/// @param Socket a socket type that binds when it is constructed
+template <typename Protocol, typename Socket>
+std::string BindAndRelease(asio::io_context& loop, const std::string& ip) {
+  const Socket socket(
+      loop, typename Protocol::endpoint(asio::ip::make_address(ip), 0));
+  return ip + ":" + std::to_string(socket.local_endpoint().port());
 }
 
 }  // namespace
 
-std::string FreeTcpAddress(asio::io_context& loop) {
-  using asio::ip::tcp;
-  return LocalAddress(
-      tcp::acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
+std::string FreeTcpAddress(asio::io_context& loop, const std::string& ip) {
+  return BindAndRelease<asio::ip::tcp, asio::ip::tcp::acceptor>(loop, ip);
 }
 
-std::string FreeUdpAddress(asio::io_context& loop) {
-  using asio::ip::udp;
-  return LocalAddress(
-      udp::socket(loop, udp::endpoint(asio::ip::address_v4::loopback(), 0)));
+std::string FreeUdpAddress(asio::io_context& loop, const std::string& ip) {
+  return BindAndRelease<asio::ip::udp, asio::ip::udp::socket>(loop, ip);
 }
 
 }  // namespace jasminehatch::emulator
--- a/packages/testing/src/process.cc
+++ b/packages/testing/src/process.cc
@@ -20,7 +20,17 @@
     arguments.push_back(argument.data());
   }
   arguments.push_back(nullptr);
+  // The child inherits the mask, so that SIGHUP does not end it before it
+  // handles the signal, not even before `exec`.
+  sigset_t held_back;
+  sigset_t previous;
+  sigemptyset(&held_back);
+  sigaddset(&held_back, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &held_back, &previous);
   m_pid = fork();
+  if (m_pid != 0) {
+    pthread_sigmask(SIG_SETMASK, &previous, nullptr);
+  }
   if (m_pid == 0) {
     // Kills the child when the test process ends.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
