End responses and requests that come without end

Cause: HttpClient kept any body and any head in memory; StreamClient skipped any number of informational responses; an event of a stream that never ends was kept whole (EventSplitter); several large responses could together exceed a small VM; an engine that sends comments without end counted as making progress.

The soak's proxies inject it as LinkFault::kEndless; gossip now passes a proxy too, which needs the setting advertised_peer_address.

--- a/packages/codec/include/jasminehatch/detail/sse/event_splitter.h
+++ b/packages/codec/include/jasminehatch/detail/sse/event_splitter.h
@@ -12,6 +12,9 @@
 /// changing their bytes.
 class EventSplitter {
  public:
+  /// Size up to which an incomplete event is kept, in bytes.
+  static constexpr std::size_t kMaxEventBytes = 1UL << 20U;
+
   /// @brief A complete event with the empty line that ends it.
   struct Event {
     std::string_view bytes;
@@ -23,6 +26,8 @@
 
   /// Feeds the next bytes, split at any place, and passes on each event that
   /// they complete.
+  /// @throw CodecError 203 when an incomplete event is larger than
+  /// `kMaxEventBytes`
   void Feed(std::string_view data, const Sink& sink);
 
   /// @return the size of the incomplete event at the end
--- a/packages/codec/src/sse/event_splitter.cc
+++ b/packages/codec/src/sse/event_splitter.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "jasminehatch/detail/base/exception.h"
+
 namespace jasminehatch::codec {
 namespace {
 
@@ -57,6 +59,9 @@
     end = FindEventEnd(rest, 0);
   }
   m_pending.erase(0, m_pending.size() - rest.size());
+  if (m_pending.size() > kMaxEventBytes) {
+    throw CodecError(203, "a server-sent event is larger than 1 MiB");
+  }
 }
 
 }  // namespace jasminehatch::codec
--- a/packages/codec/tests/event_splitter_test.cc
+++ b/packages/codec/tests/event_splitter_test.cc
@@ -40,3 +40,14 @@
     }
   }
 }
+
+// Guards against an event that never ends and is kept without bound.
+TEST(EventSplitter, AnEventWithoutAnEndIsRejected) {
+  EventSplitter splitter;
+  const std::string line(EventSplitter::kMaxEventBytes / 4, 'a');
+  const auto ignore = [](const EventSplitter::Event&) {};
+  for (int i = 0; i < 4; ++i) {
+    splitter.Feed(line, ignore);
+  }
+  CHECK_THROWS(jasminehatch::CodecError, splitter.Feed("a", ignore));
+}
--- a/packages/daemon/include/jasminehatch/detail/daemon/upstream_attempt.h
+++ b/packages/daemon/include/jasminehatch/detail/daemon/upstream_attempt.h
@@ -44,7 +44,7 @@
   struct Limits {
     /// Until the first byte of a stream or the end of any other response.
     Duration first_byte;
-    Duration idle;  ///< Longest time without a received byte after that.
+    Duration idle;  ///< Longest time without an event after that.
   };
 
   UpstreamAttempt(asio::io_context& loop,
@@ -94,7 +94,7 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
   bool m_is_chat = true;
   bool m_is_idempotent_call = false;
-  bool m_first_byte_received = false;
+  bool m_first_event_received = false;
   bool m_end_received = false;
   bool m_ended = false;
 };
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -107,6 +107,8 @@
   void OnHead(RequestId id, AttemptId attempt, net::StreamHead head);
   void OnData(RequestId id, AttemptId attempt, std::string_view data);
   void OnEnd(RequestId id, AttemptId attempt, const net::StreamEnd& end);
+  /// @return whether a response body of this size may be kept in memory
+  bool MayBuffer(std::size_t size) const;
   void ForwardEvent(RequestId id,
                     ActiveRequest& active,
                     const codec::EventSplitter::Event& event);
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -26,6 +26,13 @@
 /// Largest response that is buffered as a whole, in bytes.
 constexpr std::size_t kMaxBufferedBytes = 16UL << 20U;
 
+/// Responses larger than this also share `kMaxTotalBufferedBytes`, in bytes.
+constexpr std::size_t kLargeResponseBytes = 1UL << 20U;
+
+/// Sum of all buffered responses above which a large one ends, in bytes. A VM
+/// has as little as 88 MB.
+constexpr std::size_t kMaxTotalBufferedBytes = 20UL << 20U;
+
 /// Unsent bytes of a stream at which a slow caller is disconnected.
 constexpr std::size_t kMaxUnsentBytes = 512UL << 10U;
 
@@ -216,18 +223,24 @@
     return;
   }
   if (!active->streaming) {
-    if (active->body.size() + data.size() > kMaxBufferedBytes) {
+    if (!MayBuffer(active->body.size() + data.size())) {
       m_client.Cancel(active->call_id);
       EndAttempt(id, AttemptOutcome::kInvalidResponse,
-                 "the response body is larger than 16 MiB");
+                 "the response body is too large");
       return;
     }
     active->body += data;
     return;
   }
-  active->splitter.Feed(data, [&](const codec::EventSplitter::Event& event) {
-    ForwardEvent(id, *active, event);
-  });
+  try {
+    active->splitter.Feed(data, [&](const codec::EventSplitter::Event& event) {
+      ForwardEvent(id, *active, event);
+    });
+  } catch (const CodecError& error) {
+    m_client.Cancel(active->call_id);
+    EndAttempt(id, AttemptOutcome::kInvalidResponse, error.what());
+    return;
+  }
   if (active->exchange->UnsentBytes() > kMaxUnsentBytes) {
     const auto exchange = active->exchange;
     Apply(forwarding::CallerDisconnected{id});
@@ -236,6 +249,17 @@
   }
 }
 
+bool ForwardingHost::MayBuffer(std::size_t size) const {
+  if (size <= kLargeResponseBytes) {
+    return true;
+  }
+  std::size_t total = 0;
+  for (const auto& [id, active] : m_active_requests) {
+    total += active.body.size();
+  }
+  return size <= kMaxBufferedBytes && total <= kMaxTotalBufferedBytes;
+}
+
 void ForwardingHost::ForwardEvent(RequestId id,
                                   ActiveRequest& active,
                                   const codec::EventSplitter::Event& event) {
--- a/packages/daemon/src/upstream_attempt.cc
+++ b/packages/daemon/src/upstream_attempt.cc
@@ -129,7 +129,7 @@
 }
 
 void UpstreamAttempt::ArmProgressTimer() {
-  m_timer.expires_at(m_last_progress_at + (m_first_byte_received
+  m_timer.expires_at(m_last_progress_at + (m_first_event_received
                                                ? m_limits.idle
                                                : m_limits.first_byte));
   m_timer.async_wait([this, alive = std::weak_ptr<int>(m_alive)](
@@ -140,7 +140,7 @@
     }
     if (m_clock.Now() <
         m_last_progress_at +
-            (m_first_byte_received ? m_limits.idle : m_limits.first_byte)) {
+            (m_first_event_received ? m_limits.idle : m_limits.first_byte)) {
       ArmProgressTimer();
       return;
     }
@@ -153,8 +153,6 @@
   if (m_ended) {
     return;
   }
-  m_last_progress_at = m_clock.Now();
-  m_first_byte_received = true;
   try {
     m_parser.Feed(data, [this](std::string_view event) {
       if (!m_ended) {
@@ -176,6 +174,10 @@
 }
 
 void UpstreamAttempt::OnEvent(std::string_view data) {
+  // Only events are progress: an upstream in trouble may send other bytes
+  // without end.
+  m_last_progress_at = m_clock.Now();
+  m_first_event_received = true;
   if (data == codec::kStreamEnd) {
     m_end_received = true;
     return;
--- /dev/null
+++ b/packages/daemon/tests/endless_test.cc
@@ -0,0 +1,209 @@
+// Upstreams in trouble: responses that come without end, seen by the callers of
+// both kinds of daemon.
+
+#include <jasminehatch/codec.h>
+#include <jasminehatch/daemon.h>
+#include <jasminehatch/emulator.h>
+#include <jasminehatch/net.h>
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet.h"
+#include "jasminehatch/detail/testing/leak_detector_off.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace jasminehatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds kTimeout{20};
+constexpr std::chrono::milliseconds kDeadline{700};
+
+/// A stream event that never ends, and events that no caller can use.
+constexpr emulator::EndlessBytes kEndlessEvents[] = {
+    {"event line", "HTTP/1.1 200 OK\r\n\r\ndata: ", "aaaaaaaa"},
+    {"event lines", "HTTP/1.1 200 OK\r\n\r\n", "data: aaaaaaaa\n"}};
+
+/// @brief A forwarding daemon whose only upstream sends responses without end.
+class EndlessFixture {
+ public:
+  explicit EndlessFixture(const emulator::EndlessBytes& bytes)
+      : m_upstream(m_loop,
+                   bytes,
+                   {[](std::string_view request) {
+                      return emulator::ResponseHeaderLines(request, "u1");
+                    },
+                    {}}),
+        m_client(m_loop, {}) {
+    static const emulator::PlatformRoute kRoutes[] = {
+        {"once", "non_idempotent", 2, false},
+        {"again", "idempotent", 2, false},
+        {"stream", "streaming", 2, false}};
+    const emulator::PlatformWorkspace workspaces[] = {{"w", "key"}};
+    m_platform.PutConfiguration(
+        emulator::PlatformConfiguration(1, "desk", kRoutes, workspaces));
+    m_platform.PutUpstream(
+        "u1", emulator::UpstreamEmulator(m_loop, "u1")
+                  .Entry("desk", false, m_upstream.Address()));
+    m_settings.name = "e1";
+    m_settings.zone = "a";
+    m_settings.address = emulator::FreeTcpAddress(m_loop);
+    m_settings.ready_address = emulator::FreeTcpAddress(m_loop);
+    m_settings.store_address = m_platform.Address();
+    m_daemon = std::make_unique<daemon::Forwarder>(m_loop, m_settings, m_clock,
+                                                   1, -1);
+    CHECK(RunUntil([this] { return m_daemon->IsReady(); }));
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const auto end = std::chrono::steady_clock::now() + kTimeout;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) {
+        return false;
+      }
+      m_loop.restart();
+      m_loop.run_for(5ms);
+    }
+    return true;
+  }
+
+  /// @brief What the caller of a request received.
+  struct Outcome {
+    int status = 0;
+    std::string body;
+    std::optional<net::StreamEnd::Kind> end;
+  };
+
+  Outcome Call(const std::string& path) {
+    Outcome outcome;
+    net::StreamCall call;
+    call.address = m_settings.address;
+    call.method = "POST";
+    call.target = path;
+    call.headers = emulator::CallerHeaders("request", "key", kDeadline);
+    net::StreamClient::Callbacks callbacks;
+    callbacks.on_head = [&](const net::StreamHead& head) {
+      outcome.status = head.status;
+    };
+    callbacks.on_data = [&](std::string_view data) { outcome.body += data; };
+    callbacks.on_end = [&](const net::StreamEnd& end) {
+      outcome.end = end.kind;
+    };
+    m_client.Start(std::move(call), std::move(callbacks));
+    CHECK(RunUntil([&] { return outcome.end.has_value(); }));
+    return outcome;
+  }
+
+  bool UpstreamConnectionsClose() {
+    return RunUntil([this] { return m_upstream.AllClosed(); });
+  }
+  std::size_t UpstreamRequests() const { return m_upstream.Requests(); }
+
+ private:
+  asio::io_context m_loop{1};
+  emulator::PlatformEmulator m_platform{m_loop};
+  emulator::EndlessServer m_upstream;
+  net::StreamClient m_client;
+  net::BootClock m_clock;
+  codec::ForwarderSettings m_settings;
+  std::unique_ptr<daemon::Forwarder> m_daemon;
+};
+
+/// @return the response of an idle engine to queries; empty for a prompt
+std::string RespondToQueries(std::string_view request) {
+  if (!request.starts_with("GET /engine/v1/")) {
+    return {};
+  }
+  serving::LoadReported load;
+  load.slots = 4;
+  load.incarnation = 1;
+  load.weight_version = "v1";
+  const std::string body =
+      request.starts_with("GET /engine/v1/load")   ? codec::BuildLoadReport(load)
+      : request.starts_with("GET /engine/v1/cache") ? codec::BuildCacheListing({})
+                                                    : codec::BuildCacheChanges({});
+  return std::string(emulator::kOkStatusLine) +
+         "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+void CheckEachRoute(const emulator::EndlessBytes& bytes) {
+  for (const char* route : {"/once/x", "/again/x", "/stream/x"}) {
+    EndlessFixture fixture(bytes);
+    const auto outcome = fixture.Call(route);
+    CHECK_TRUE_TEXT(outcome.status == 502 || outcome.status == 504,
+                    bytes.name);
+    CHECK_TRUE_TEXT(
+        outcome.body.find("\"verdict\":\"may_have_run\"") != std::string::npos,
+        bytes.name);
+    CHECK_TRUE_TEXT(outcome.end == net::StreamEnd::Kind::kComplete, bytes.name);
+    CHECK_TRUE_TEXT(fixture.UpstreamConnectionsClose(), bytes.name);
+    if (route == std::string_view("/once/x")) {
+      UNSIGNED_LONGS_EQUAL(1, fixture.UpstreamRequests());
+    }
+  }
+}
+
+}  // namespace
+
+TEST_GROUP_BASE(Endless, jasminehatch::testing::LeakDetectorOff){};
+
+// Guards against a request that waits for an endless response beyond its
+// deadline, gets a false verdict or runs again although it may have run.
+TEST(Endless, RequestsGetTheirVerdict) {
+  for (const emulator::EndlessBytes& bytes : emulator::EndlessResponses()) {
+    CheckEachRoute(bytes);
+  }
+}
+
+// Guards against an event of a stream that is buffered without bound.
+TEST(Endless, EventsOfAStreamEnd) {
+  for (const emulator::EndlessBytes& bytes : kEndlessEvents) {
+    EndlessFixture fixture(bytes);
+    const auto outcome = fixture.Call("/stream/x");
+    LONGS_EQUAL(502, outcome.status);
+    CHECK_TRUE_TEXT(fixture.UpstreamConnectionsClose(), bytes.name);
+  }
+}
+
+// Guards against a prompt of the product's own interface that an engine keeps
+// alive with bytes that are no event.
+TEST(Endless, PromptsEnd) {
+  constexpr emulator::EndlessBytes kComments{
+      "comments", "HTTP/1.1 200 OK\r\n\r\n", ": aaaaaaaa\n", 10ms};
+  std::vector<emulator::EndlessBytes> kinds(
+      emulator::EndlessResponses().begin(), emulator::EndlessResponses().end());
+  kinds.push_back(kComments);
+  kinds.insert(kinds.end(), std::begin(kEndlessEvents),
+               std::end(kEndlessEvents));
+  for (const emulator::EndlessBytes& bytes : kinds) {
+    daemon::test::Fleet fleet(1, [](codec::DaemonSettings& settings) {
+      settings.first_byte_timeout = 500ms;
+      settings.idle_timeout = 300ms;
+      settings.serving.max_attempts = 1;
+    });
+    emulator::EndlessServer engine(fleet.loop, bytes, {{}, &RespondToQueries});
+    const std::array urls{"http://" + engine.Address()};
+    fleet.Publish(urls);
+    fleet.RunUntil([&] { return fleet.daemons[0]->IsReady(); });
+    const auto result = fleet.Call(fleet.Chat("hello", false));
+    CHECK_TRUE_TEXT(result.status >= 500, bytes.name);
+    STRCMP_EQUAL("may_have_run",
+                 daemon::test::ErrorOf(result)["verdict"]
+                     .get<std::string>()
+                     .c_str());
+    fleet.daemons.clear();
+    fleet.RunUntil([&] { return engine.AllClosed(); });
+  }
+}
--- a/packages/daemon/tests/fleet.cc
+++ b/packages/daemon/tests/fleet.cc
@@ -151,6 +151,14 @@
 }
 
 void Fleet::Publish() {
+  std::vector<std::string> urls;
+  for (const auto& engine : engines) {
+    urls.push_back(Url(engine->Port()));
+  }
+  Publish(urls);
+}
+
+void Fleet::Publish(std::span<const std::string> engine_urls) {
   config::ConfigChange change;
   change.change_id = "first";
   change.author = "test";
@@ -159,10 +167,10 @@
        config::Fields{{"key_sha256", codec::Sha256Hex(kKey)},
                       {"models", "assistant@v1"},
                       {"services", "orders"}}});
-  for (std::size_t i = 0; i < engines.size(); ++i) {
+  for (std::size_t i = 0; i < engine_urls.size(); ++i) {
     change.updates.push_back({{"upstream", "engine-" + std::to_string(i)},
                               config::Fields{{"zone", "zone-a"},
-                                             {"url", Url(engines[i]->Port())},
+                                             {"url", engine_urls[i]},
                                              {"model", "assistant"},
                                              {"weight_version", "v1"}}});
   }
--- a/packages/daemon/tests/fleet.h
+++ b/packages/daemon/tests/fleet.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -86,6 +87,8 @@
 
   /// Publishes the configuration on the log.
   void Publish();
+  /// Publishes it with other engines than those of this object.
+  void Publish(std::span<const std::string> engine_urls);
   void AwaitReady();
 
   std::uint64_t StartedRuns() const;
--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_wire.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_wire.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 
 #include "jasminehatch/detail/http/http_message.h"
 
@@ -50,6 +51,11 @@
 
 ForwardedHeaders ParseForwardedHeaders(const net::HttpHeaders& headers);
 
+/// @return the header lines of an upstream's response to a request, given as
+/// text; the response is a stream of events
+std::string ResponseHeaderLines(std::string_view request,
+                                const std::string& upstream);
+
 /// @return the signature of the upstream in a response; empty without one
 std::string SignatureOf(const net::HttpHeaders& headers);
 
--- a/packages/emulator/include/jasminehatch/emulator.h
+++ b/packages/emulator/include/jasminehatch/emulator.h
@@ -5,9 +5,12 @@
 /// @brief Umbrella header of the emulators of outside systems, for tests and
 /// experiments. Not shipped.
 
+#include "jasminehatch/detail/emulator/endless_server.h"
+#include "jasminehatch/detail/emulator/endless_writer.h"
 #include "jasminehatch/detail/emulator/engine_emulator.h"
 #include "jasminehatch/detail/emulator/free_address.h"
 #include "jasminehatch/detail/emulator/log_emulator.h"
+#include "jasminehatch/detail/emulator/loopback_host.h"
 #include "jasminehatch/detail/emulator/platform_emulator.h"
 #include "jasminehatch/detail/emulator/platform_wire.h"
 #include "jasminehatch/detail/emulator/service_emulator.h"
--- a/packages/emulator/src/platform_wire.cc
+++ b/packages/emulator/src/platform_wire.cc
@@ -62,6 +62,18 @@
           header("Last-Event-Id")};
 }
 
+std::string ResponseHeaderLines(std::string_view request,
+                                const std::string& upstream) {
+  constexpr std::string_view kRequestId = "X-Request-Id: ";
+  const std::size_t start = request.find(kRequestId);
+  const std::string_view line =
+      start == std::string_view::npos
+          ? std::string_view()
+          : request.substr(start, request.find("\r\n", start) - start);
+  return std::string(line) + "\r\nX-Response-Signature: signature-of-" +
+         upstream + "\r\nContent-Type: text/event-stream\r\n";
+}
+
 std::string SignatureOf(const net::HttpHeaders& headers) {
   return std::string(net::FindHeader(headers, "X-Response-Signature"));
 }
--- a/packages/net/include/jasminehatch/detail/http/http_client.h
+++ b/packages/net/include/jasminehatch/detail/http/http_client.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_HTTP_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -31,6 +32,10 @@
   /// itself when a reused connection breaks before the response; calls that
   /// must not run twice need a new connection.
   bool fresh_connection = false;
+  /// A response with a larger head or body breaks off. The bytes that a data
+  /// callback receives are not counted.
+  std::size_t max_head_bytes = 64UL << 10U;
+  std::size_t max_body_bytes = 16UL << 20U;
 };
 
 /// @brief How a call ended.
--- a/packages/net/src/http/http_client.cc
+++ b/packages/net/src/http/http_client.cc
@@ -44,9 +44,14 @@
   HttpResult result;
   HttpClient::DoneCallback on_done;
   HttpClient::DataCallback on_data;
+  std::size_t head_bytes = 0;  ///< With informational responses and trailers.
+  bool too_large = false;
   bool cancelled = false;
 };
 
+/// What a callback of libcurl returns to break off a call.
+constexpr std::size_t kBreakOff = 0;
+
 std::size_t OnBody(char* data,
                    std::size_t /*size*/,
                    std::size_t length,
@@ -59,9 +64,13 @@
   curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
   if (transfer.on_data && status >= 200 && status < 300) {
     transfer.on_data(std::string_view(data, length));
-  } else {
-    transfer.result.body.append(data, length);
+    return length;
   }
+  if (transfer.result.body.size() + length > transfer.call.max_body_bytes) {
+    transfer.too_large = true;
+    return kBreakOff;
+  }
+  transfer.result.body.append(data, length);
   return length;
 }
 
@@ -70,6 +79,11 @@
                      std::size_t length,
                      void* user) {
   auto& transfer = *static_cast<Transfer*>(user);
+  transfer.head_bytes += length;
+  if (transfer.head_bytes > transfer.call.max_head_bytes) {
+    transfer.too_large = true;
+    return kBreakOff;
+  }
   std::string_view line(data, length);
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
@@ -372,7 +386,9 @@
       curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
       transfer->result.status = static_cast<int>(status);
       if (code != CURLE_OK) {
-        transfer->result.error = curl_easy_strerror(code);
+        transfer->result.error =
+            transfer->too_large ? "the response is larger than its limit"
+                                : curl_easy_strerror(code);
       }
       curl_multi_remove_handle(m_multi, easy);
       auto node = m_transfers.extract(transfer->id);
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -41,6 +41,9 @@
   return text;
 }
 
+/// Informational responses (status 1xx) that are skipped before a response.
+constexpr std::size_t kMaxInformationalResponses = 16;
+
 /// A connection that breaks at its next call after at least this idle time was
 /// probably dropped by the upstream without notice.
 constexpr std::chrono::milliseconds kMinDroppedIdleTime{150};
@@ -106,6 +109,7 @@
     asio::steady_timer total_timer;
     ConnectionPtr connection;
     std::string head;
+    std::size_t informational_responses = 0;
     bool send_started = false;  ///< Bytes of the request may be on the wire.
     bool sent = false;
     bool head_received = false;
@@ -339,6 +343,11 @@
     if (connection->parser.IsHeadComplete() && !had_head &&
         connection->parser.Status() / 100 == 1 &&
         connection->parser.IsMessageComplete()) {
+      if (++call->informational_responses > kMaxInformationalResponses) {
+        Finish(id, StreamEnd::Kind::kMalformed,
+               "too many informational responses");
+        return;
+      }
       connection->parser.Reset();
       continue;
     }
--- a/packages/soak/include/jasminehatch/detail/soak/loopback_proxy.h
+++ b/packages/soak/include/jasminehatch/detail/soak/loopback_proxy.h
@@ -19,6 +19,9 @@
   kSilent,       ///< Nothing passes; connections stay open.
   kCutToServer,  ///< Nothing passes towards the server.
   kCutToClient,  ///< Nothing passes towards the client.
+  /// The client gets bytes that are no response, without end, until it closes
+  /// the connection.
+  kEndless,
   kCount,        ///< Number of faults; not a fault itself.
 };
 
--- a/packages/soak/include/jasminehatch/detail/soak/soak_run.h
+++ b/packages/soak/include/jasminehatch/detail/soak/soak_run.h
@@ -17,6 +17,7 @@
 #include <string>
 #include <vector>
 
+#include "jasminehatch/detail/soak/datagram_proxy.h"
 #include "jasminehatch/detail/soak/guarantee_checker.h"
 #include "jasminehatch/detail/soak/loopback_proxy.h"
 #include "jasminehatch/detail/testing/process.h"
@@ -55,6 +56,7 @@
     std::string peer_address;
     std::string settings_file;
     std::unique_ptr<LoopbackProxy> store_link;
+    std::unique_ptr<DatagramProxy> gossip_link;
     std::unique_ptr<testing::Process> process;
     MonotonicTime disturbed_at{};  ///< Last kill, pause, resume or start.
     bool paused = false;
@@ -102,6 +104,7 @@
   void ReloadDaemon();
   void InjectStoreLinkFault();
   void InjectUpstreamLinkFault();
+  void InjectGossipLinkFault();
   void StopStore();
   void CompactStore();
   void FailUpstream();
@@ -120,6 +123,7 @@
   Options m_options;
   std::mt19937_64 m_random;
   asio::io_context m_loop{1};
+  emulator::LoopbackHost m_host;
   emulator::PlatformEmulator m_platform{m_loop};
   net::StreamClient m_client{m_loop, {}};
   std::vector<Daemon> m_daemons;
--- a/packages/soak/src/loopback_proxy.cc
+++ b/packages/soak/src/loopback_proxy.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "jasminehatch/detail/emulator/endless_writer.h"
 #include "jasminehatch/detail/http/ip_port.h"
 
 namespace jasminehatch::soak {
@@ -38,6 +39,18 @@
   tcp::endpoint target;
   LinkFault fault = LinkFault::kNone;
   std::list<std::weak_ptr<Pipe>> pipes;
+  std::list<std::weak_ptr<tcp::socket>> endless;
+  std::size_t endless_count = 0;
+
+  /// Sends the next kind of endless response to a client.
+  void SendWithoutEnd(const std::shared_ptr<tcp::socket>& client) {
+    const auto kinds = emulator::EndlessResponses();
+    const emulator::EndlessBytes& bytes = kinds[endless_count++ % kinds.size()];
+    endless.remove_if([](const auto& socket) { return socket.expired(); });
+    endless.push_back(client);
+    std::make_shared<emulator::EndlessWriter>(client, bytes, bytes.start)
+        ->Start();
+  }
 };
 
 /// One direction of a connection; both directions share both sockets.
@@ -100,6 +113,11 @@
       m_to->shutdown(tcp::socket::shutdown_send, ignored);
       return;
     }
+    if (m_shared->fault == LinkFault::kEndless &&
+        m_cut == LinkFault::kCutToClient) {
+      m_shared->SendWithoutEnd(m_to);
+      return;
+    }
     asio::async_write(*m_to, asio::buffer(m_buffer.data(), m_length),
                       [self = shared_from_this()](const asio::error_code& error,
                                                   std::size_t /*length*/) {
@@ -129,6 +147,7 @@
       loop,
       tcp::endpoint(asio::ip::make_address(parsed.value().ip), parsed->port),
       LinkFault::kNone,
+      {},
       {}});
   Accept();
 }
@@ -151,6 +170,11 @@
       open->Break();
     }
   }
+  for (const auto& socket : std::exchange(m_shared->endless, {})) {
+    if (const auto open = socket.lock()) {
+      Reset(*open);
+    }
+  }
 }
 
 void LoopbackProxy::Accept() {
@@ -165,6 +189,11 @@
       return;
     }
     const auto client = std::make_shared<tcp::socket>(std::move(accepted));
+    if (m_shared->fault == LinkFault::kEndless) {
+      m_shared->SendWithoutEnd(client);
+      Accept();
+      return;
+    }
     const auto server = std::make_shared<tcp::socket>(m_shared->loop);
     server->async_connect(
         m_shared->target,
--- a/packages/soak/src/soak_faults.cc
+++ b/packages/soak/src/soak_faults.cc
@@ -20,7 +20,7 @@
 
 constexpr LinkFault kLinkFaults[] = {
     LinkFault::kDelay, LinkFault::kReset, LinkFault::kSilent,
-    LinkFault::kCutToServer, LinkFault::kCutToClient};
+    LinkFault::kCutToServer, LinkFault::kCutToClient, LinkFault::kEndless};
 
 }  // namespace
 
@@ -31,6 +31,7 @@
                                       &SoakRun::ReloadDaemon,
                                       &SoakRun::InjectStoreLinkFault,
                                       &SoakRun::InjectUpstreamLinkFault,
+                                      &SoakRun::InjectGossipLinkFault,
                                       &SoakRun::StopStore,
                                       &SoakRun::CompactStore,
                                       &SoakRun::FailUpstream,
@@ -128,6 +129,17 @@
         [this, index] { m_upstreams[index].link->SetFault(LinkFault::kNone); });
 }
 
+void SoakRun::InjectGossipLinkFault() {
+  const std::size_t index = Draw(m_daemons.size());
+  const LinkFault fault = kLinkFaults[Draw(std::size(kLinkFaults))];
+  Log("gossip to " + m_daemons[index].name + ": fault " +
+      std::to_string(static_cast<int>(fault)));
+  m_daemons[index].gossip_link->SetFault(fault);
+  After(DrawTime(300, 5000), [this, index] {
+    m_daemons[index].gossip_link->SetFault(LinkFault::kNone);
+  });
+}
+
 void SoakRun::StopStore() {
   Log("store down");
   m_platform.SetDown(true);
--- a/packages/soak/src/soak_run.cc
+++ b/packages/soak/src/soak_run.cc
@@ -58,12 +58,14 @@
   for (std::size_t i = 0; i < m_daemons.size(); ++i) {
     Daemon& daemon = m_daemons[i];
     daemon.name = "entry-" + std::to_string(i);
-    daemon.address = emulator::FreeTcpAddress(m_loop);
-    daemon.ready_address = emulator::FreeTcpAddress(m_loop);
-    daemon.peer_address = emulator::FreeUdpAddress(m_loop);
+    daemon.address = m_host.NewTcpAddress(m_loop);
+    daemon.ready_address = m_host.NewTcpAddress(m_loop);
+    daemon.peer_address = m_host.NewUdpAddress(m_loop);
     daemon.settings_file = m_options.work_dir + "/" + daemon.name + ".ini";
     daemon.store_link =
         std::make_unique<LoopbackProxy>(m_loop, m_platform.Address());
+    daemon.gossip_link = std::make_unique<DatagramProxy>(
+        m_loop, daemon.peer_address, m_options.seed);
     StartDaemon(i);
   }
   Monitor();
@@ -156,6 +158,7 @@
       << "\nzone = a\naddress = " << daemon.address
       << "\nready_address = " << daemon.ready_address
       << "\npeer_address = " << daemon.peer_address
+      << "\nadvertised_peer_address = " << daemon.gossip_link->Address()
       << "\nstore_address = " << daemon.store_link->Address()
       << "\nstop_grace = " << kStopGrace.count()
       << "s\nrevoke_limit = 2500ms\ndrain_limit = 2000ms\n"
