--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -9,8 +9,6 @@
 
 #include "jasminehatch/detail/forwarding/options.h"
 
-#include "jasminehatch/detail/forwarding/options.h"
-
 namespace jasminehatch::codec {
 
 struct IniDocument;
@@ -29,6 +27,12 @@
   std::string ready_address;    ///< `ip:port` for readiness checks.
   std::string metrics_address;  ///< `ip:port`; empty for none.
   std::string peer_address;     ///< `ip:port` for gossip; empty for none.
+  /// `ip:port` at which other daemons reach `peer_address`; empty for that
+  /// address itself.
+  std::string advertised_peer_address;
+  /// Processing capacity of this VM relative to the others. Daemons with the
+  /// largest capacity read shared state for their zone.
+  double capacity = 1;
   /// `ip:port` of the platform's store, which holds the configuration and the
   /// registry.
   std::string store_address;
--- a/packages/codec/src/json/config_record.cc
+++ b/packages/codec/src/json/config_record.cc
@@ -6,8 +6,8 @@
 #include <variant>
 
 #include "jasminehatch/detail/base/exception.h"
-#include "jasminehatch/detail/json/read_integer.h"
 #include "jasminehatch/detail/json/log_record.h"
+#include "jasminehatch/detail/json/read_integer.h"
 
 namespace jasminehatch::codec {
 namespace {
@@ -46,8 +46,8 @@
     part.version = ReadInteger<std::uint64_t>(document.at("version"));
     part.part = ReadInteger<std::uint32_t>(document.at("part"));
     part.count = ReadInteger<std::uint32_t>(document.at("count"));
-    part.written = WallTime(
-        std::chrono::seconds(ReadSeconds(document.at("written"))));
+    part.written =
+        WallTime(std::chrono::seconds(ReadSeconds(document.at("written"))));
     for (const json& entry : document.at("entries")) {
       part.entries.emplace_back(config::EntryId{entry.at(0).get<std::string>(),
                                                 entry.at(1).get<std::string>()},
@@ -122,8 +122,9 @@
     page.page.from = ReadInteger<std::uint64_t>(document.at("from"));
     page.page.next = ReadInteger<std::uint64_t>(document.at("next"));
     for (const json& record : document.at("records")) {
-      page.page.records.push_back(DecodeConfigRecord(
-          ReadInteger<std::uint64_t>(record.at(0)), record.at(1).get<std::string>()));
+      page.page.records.push_back(
+          DecodeConfigRecord(ReadInteger<std::uint64_t>(record.at(0)),
+                             record.at(1).get<std::string>()));
     }
     return page;
   } catch (const json::exception& error) {
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -14,7 +14,8 @@
 constexpr int kFormatVersion = 2;
 
 forwarding::UpstreamLoad DecodeLoad(const json& entry) {
-  return {ReadInteger<std::uint32_t>(entry.at(0)), ReadInteger<std::uint32_t>(entry.at(1)),
+  return {ReadInteger<std::uint32_t>(entry.at(0)),
+          ReadInteger<std::uint32_t>(entry.at(1)),
           ReadInteger<std::uint64_t>(entry.at(2))};
 }
 
@@ -58,7 +59,8 @@
        std::move(encoded_loads), std::move(encoded_updates), sent_ms, echo_ms,
        operator_end_offset,
        freshness_proof_age_ms ? json(*freshness_proof_age_ms) : json(),
-       std::move(encoded_crashes), covers_zone, capacity ? json(*capacity) : json()});
+       std::move(encoded_crashes), covers_zone,
+       capacity ? json(*capacity) : json()});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -90,7 +92,8 @@
     }
     for (const json& entry : message.at(12)) {
       decoded.crash_reports.push_back(
-          {ReadInteger<std::uint64_t>(entry.at(0)), ReadInteger<std::uint64_t>(entry.at(1))});
+          {ReadInteger<std::uint64_t>(entry.at(0)),
+           ReadInteger<std::uint64_t>(entry.at(1))});
     }
     decoded.covers_zone = message.at(13).get<bool>();
     if (message.size() > kCapacityIndex &&
--- a/packages/codec/src/json/lease_json.cc
+++ b/packages/codec/src/json/lease_json.cc
@@ -22,7 +22,8 @@
     lease::LeaseRecord record;
     record.group = document.at("group").get<std::string>();
     record.holder.daemon = document.at("daemon").get<std::string>();
-    record.holder.incarnation = ReadInteger<std::uint64_t>(document.at("incarnation"));
+    record.holder.incarnation =
+        ReadInteger<std::uint64_t>(document.at("incarnation"));
     record.nonce = ReadInteger<std::uint64_t>(document.at("nonce"));
     record.base = ReadInteger<std::uint64_t>(document.at("base"));
     return record;
--- a/packages/codec/src/json/peer_message.cc
+++ b/packages/codec/src/json/peer_message.cc
@@ -4,8 +4,8 @@
 
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/hash/sha256.h"
-#include "json_errors.h"
 #include "jasminehatch/detail/json/read_integer.h"
+#include "json_errors.h"
 
 namespace jasminehatch::codec {
 namespace {
--- a/packages/codec/src/json/relay_message.cc
+++ b/packages/codec/src/json/relay_message.cc
@@ -36,8 +36,8 @@
 }
 
 json EncodeChange(const forwarding::CacheChange& change) {
-  return json::array({change.stored, change.part.salt, change.part.id,
-                      change.part.tokens});
+  return json::array(
+      {change.stored, change.part.salt, change.part.id, change.part.tokens});
 }
 
 forwarding::CacheChange DecodeChange(const json& entry) {
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -62,6 +62,21 @@
                    },
                    false, "none",
                    "ip:port for gossip between daemons, over UDP"},
+    ForwarderField{"advertised_peer_address",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.advertised_peer_address = r.Text();
+                   },
+                   false, "`peer_address`",
+                   "ip:port at which other daemons reach `peer_address`, if a "
+                   "proxy or a translation of addresses is in between"},
+    ForwarderField{"capacity",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.capacity = r.Number(1e-3, 1e6);
+                   },
+                   false, "1",
+                   "processing capacity of this VM relative to the others; "
+                   "daemons with the largest one read shared state for their "
+                   "availability zone"},
     ForwarderField{"store_address",
                    [](const FieldReader& r, ForwarderSettings& s) {
                      s.store_address = r.Text();
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -1,6 +1,7 @@
 #include <jasminehatch/codec.h>
 
 #include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -57,6 +58,19 @@
   return variants;
 }
 
+FeedDelta CompleteDelta() {
+  FeedDelta delta;
+  delta.feed = 1;
+  delta.epoch = 2;
+  delta.position = 30;
+  delta.status = FeedDelta::Status::kPartial;
+  delta.age_ms = 4;
+  delta.recovered_age_ms = 5;
+  delta.records = {{6, "key", "value", false}, {7, "gone", "", true}};
+  delta.changes = {{true, {"salt", "id", 16}}};
+  return delta;
+}
+
 }  // namespace
 
 TEST_GROUP_BASE(ForwarderCodec, jasminehatch::testing::LeakDetectorOff){};
@@ -153,6 +167,73 @@
   }
 }
 
+// Guards against a relay message that loses a field in encoding or decoding.
+TEST(ForwarderCodec, RelayMessagesRoundTrip) {
+  const auto poll =
+      RelayPoll::Decode(RelayPoll{"e1", 5, {{1, 2, 3}, {4, 5, 6}}}.Encode());
+  STRCMP_EQUAL("e1", poll.daemon.c_str());
+  UNSIGNED_LONGS_EQUAL(5, poll.sequence);
+  UNSIGNED_LONGS_EQUAL(2, poll.feeds.size());
+  UNSIGNED_LONGS_EQUAL(4, poll.feeds.at(1).feed);
+  UNSIGNED_LONGS_EQUAL(5, poll.feeds.at(1).epoch);
+  UNSIGNED_LONGS_EQUAL(6, poll.feeds.at(1).position);
+  const FeedDelta delta = CompleteDelta();
+  const auto answer =
+      RelayAnswer::Decode(RelayAnswer{"e2", 7, {delta}}.Encode());
+  STRCMP_EQUAL("e2", answer.daemon.c_str());
+  UNSIGNED_LONGS_EQUAL(7, answer.sequence);
+  const FeedDelta& decoded = answer.feeds.at(0);
+  UNSIGNED_LONGS_EQUAL(delta.feed, decoded.feed);
+  UNSIGNED_LONGS_EQUAL(delta.epoch, decoded.epoch);
+  UNSIGNED_LONGS_EQUAL(delta.position, decoded.position);
+  CHECK(delta.status == decoded.status);
+  UNSIGNED_LONGS_EQUAL(delta.age_ms, decoded.age_ms);
+  CHECK(delta.recovered_age_ms == decoded.recovered_age_ms);
+  CHECK(delta.records == decoded.records);
+  CHECK(decoded.changes.at(0).stored);
+  STRCMP_EQUAL("salt", decoded.changes.at(0).part.salt.c_str());
+  STRCMP_EQUAL("id", decoded.changes.at(0).part.id.c_str());
+  UNSIGNED_LONGS_EQUAL(16, decoded.changes.at(0).part.tokens);
+}
+
+// Guards against a crash on a malformed relay message.
+TEST(ForwarderCodec, MalformedRelayMessagesAreRejected) {
+  const std::string poll = RelayPoll{"e1", 5, {{1, 2, 3}}}.Encode();
+  const std::string answer = RelayAnswer{"e2", 7, {CompleteDelta()}}.Encode();
+  for (std::size_t length = 0; length < poll.size(); ++length) {
+    CHECK_THROWS(CodecError, RelayPoll::Decode(poll.substr(0, length)));
+  }
+  for (std::size_t length = 0; length < answer.size(); ++length) {
+    CHECK_THROWS(CodecError, RelayAnswer::Decode(answer.substr(0, length)));
+  }
+  CHECK_THROWS(CodecError, RelayPoll::Decode(answer));
+  CHECK_THROWS(CodecError, RelayAnswer::Decode(poll));
+  const auto message = nlohmann::json::from_msgpack(answer.substr(1));
+  for (const nlohmann::json& wrong :
+       {nlohmann::json(1e300), nlohmann::json(-1), nlohmann::json("1")}) {
+    for (const nlohmann::json& variant : ReplaceEachNumber(message, wrong)) {
+      std::string encoded(1, RelayAnswer::kMark);
+      nlohmann::json::to_msgpack(variant, encoded);
+      CHECK_THROWS(CodecError, RelayAnswer::Decode(encoded));
+    }
+  }
+}
+
+// Guards against a capacity that daemons cannot compare, and against messages
+// of daemons that do not report one.
+TEST(ForwarderCodec, CapacitiesAreChecked) {
+  GossipMessage message = CompleteMessage();
+  CHECK_FALSE(GossipMessage::Decode(message.Encode()).capacity.has_value());
+  message.capacity = 0.5;
+  DOUBLES_EQUAL(0.5, *GossipMessage::Decode(message.Encode()).capacity, 0);
+  for (const double wrong :
+       {0.0, -1.0, 1e300, std::numeric_limits<double>::quiet_NaN(),
+        std::numeric_limits<double>::infinity()}) {
+    message.capacity = wrong;
+    CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
+  }
+}
+
 // Guards against a lease record whose holder changes in encoding or decoding.
 TEST(ForwarderCodec, LeasesRoundTrip) {
   const lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5};
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -51,6 +51,9 @@
   kPeerSuspected,
   kPeerGone,
   kMembershipRejoined,
+  kRelayPollAnswered,
+  kRelayPollUnanswered,
+  kRelayRoleChanged,
   kCount,
 };
 
--- a/packages/core/include/jasminehatch/detail/relay/coordinator.h
+++ b/packages/core/include/jasminehatch/detail/relay/coordinator.h
@@ -72,7 +72,7 @@
 
   ReaderCandidate m_self;
   std::set<std::string> m_feeds;
-  std::map<std::string, Awaited> m_awaited;  ///< By reader.
+  std::map<std::string, Awaited> m_awaited;                  ///< By reader.
   std::map<std::string, MonotonicTime> m_passed_over_until;  ///< By reader.
   std::uint64_t m_sequence = 0;
   std::uint64_t m_unanswered = 0;
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -41,6 +41,9 @@
     "peer_suspected",
     "peer_gone",
     "membership_rejoined",
+    "relay_poll_answered",
+    "relay_poll_unanswered",
+    "relay_role_changed",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
 
--- a/packages/core/src/relay/record_mirror.cc
+++ b/packages/core/src/relay/record_mirror.cc
@@ -26,9 +26,8 @@
   const auto known = m_offsets.find(record.key);
   if (known != m_offsets.end()) {
     const auto previous = m_by_offset.find(known->second);
-    const bool renewal =
-        !record.removed && !previous->second.removed &&
-        m_is_renewal(previous->second.value, record.value);
+    const bool renewal = !record.removed && !previous->second.removed &&
+                         m_is_renewal(previous->second.value, record.value);
     if (renewal) {
       return;
     }
--- a/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
@@ -10,7 +10,9 @@
 #include <string>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarder/relayed_feed.h"
 #include "jasminehatch/detail/platform/engine_client.h"
+#include "jasminehatch/detail/relay/change_log.h"
 
 namespace asio {
 class io_context;
@@ -32,8 +34,9 @@
 /// weight version no engine uses any more.
 ///
 /// A part is the cached state of one prompt part, computed with one weight
-/// version.
-class CacheStoreFollower {
+/// version. In a large zone it is a relayed feed: one daemon reads the store's
+/// changes for the others.
+class CacheStoreFollower : public RelayedFeed {
  public:
   CacheStoreFollower(asio::io_context& loop,
                      const Clock& clock,
@@ -65,7 +68,23 @@
   /// and on no upstream) once no fetch of them can be running.
   void FreeOutdatedParts();
 
+  std::optional<codec::FeedPosition> Position() const override;
+  std::optional<codec::FeedDelta> ChangesSince(
+      const codec::FeedPosition& position,
+      std::size_t max_bytes) const override;
+  void Accept(const codec::FeedDelta& delta, MonotonicTime known_at) override;
+  void SetRole(relay::FeedRole role) override { m_role = role; }
+
  private:
+  /// @brief How changes are read.
+  struct ReadMode {
+    std::chrono::milliseconds wait{0};  ///< For which the store may wait.
+    std::chrono::milliseconds pause{0};
+  };
+
+  ReadMode Mode() const;
+  /// Reads, unless what was relayed is recent enough.
+  void ReadIfDue();
   void List();
   void Read();
   void OnChanges(const std::optional<platform::CacheStorePage>& page);
@@ -90,6 +109,10 @@
   /// Since when there have been outdated parts that may be freed.
   std::optional<MonotonicTime> m_outdated_parts_since;
   MonotonicTime m_freeing_allowed_until{};
+  relay::FeedRole m_role = relay::FeedRole::kIndependent;
+  relay::ChangeLog m_changes;
+  /// When the content was known up to `m_next_change`.
+  std::optional<MonotonicTime> m_known_at;
   std::size_t m_daemon_count = 1;
   std::size_t m_rank = 0;
   bool m_reachable = true;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -12,11 +12,13 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/json/gossip_message.h"
+#include "jasminehatch/detail/relay/reader_ranking.h"
 
 namespace asio {
 class io_context;
@@ -51,8 +53,15 @@
     std::string zone;
     std::string address;  ///< `ip:port` for UDP.
     std::uint64_t incarnation = 0;
+    /// `ip:port` that other daemons send to; empty for `address`.
+    std::string advertised_address;
+    double capacity = 1;  ///< Relative processing capacity of this VM.
   };
 
+  /// Handles a datagram that is no gossip message. Its first byte tells its
+  /// kind.
+  using DatagramHandler = std::function<void(std::string_view bytes)>;
+
   /// @brief Knowledge that the operators had written no record at or after
   /// `end_offset` at the time `confirmed_at`.
   struct FreshnessProof {
@@ -87,6 +96,25 @@
   /// @return the number of live peers whose name sorts before this daemon's
   std::size_t Rank() const;
 
+  /// @return the live peers of this daemon's zone that relay feeds
+  std::vector<relay::ReaderCandidate> LiveZonePeers() const;
+
+  /// @return the number of zones with a known daemon whose name sorts before
+  /// this daemon's zone
+  std::size_t ZoneIndex() const;
+
+  /// Sends a datagram to a peer; ignored for an unknown peer.
+  void SendDatagram(const std::string& peer, std::string_view bytes);
+
+  /// @param marks first bytes of the datagrams to handle
+  void SetDatagramHandler(std::string marks, DatagramHandler handler) {
+    m_datagram_marks = std::move(marks);
+    m_on_datagram = std::move(handler);
+  }
+
+  /// Records that a peer has sent a datagram, so that it is live.
+  void RecordDatagram(const std::string& peer);
+
   /// Sends a change of weights at once and repeats it in each message for a
   /// while.
   void Broadcast(const codec::WeightsUpdate& update);
@@ -107,6 +135,8 @@
     std::uint64_t last_sent_ms = 0;
     /// Whether the peer is known from a message, not only from the store.
     bool message_received = false;
+    /// Relative capacity of its VM; nothing if it does not relay feeds.
+    std::optional<double> capacity;
   };
 
   struct PendingWeightsUpdate {
@@ -154,6 +184,8 @@
   asio::steady_timer m_send_timer;
   asio::steady_timer m_register_timer;
   std::array<char, 65536> m_buffer{};
+  std::string m_datagram_marks;
+  DatagramHandler m_on_datagram;
   ProofSource m_get_own_proof;
   ProofHandler m_on_peer_proof;
   std::map<std::string, Peer> m_peers;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
@@ -11,6 +11,8 @@
 #include <string>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarder/relayed_feed.h"
+#include "jasminehatch/detail/relay/record_mirror.h"
 
 namespace asio {
 class io_context;
@@ -31,7 +33,10 @@
 /// @brief Follows a keyed topic of the platform's store: reads the newest
 /// record of each key, then each further record in order. Starts over when
 /// records were compacted away before they were read.
-class TopicFollower {
+///
+/// In a large zone it is a relayed feed: a reader's reads also serve the
+/// followers, which read by themselves only when what they know is too old.
+class TopicFollower : public RelayedFeed {
  public:
   struct Options {
     std::string topic;
@@ -39,6 +44,16 @@
     std::chrono::milliseconds max_wait{0};
     /// Pause between two reads.
     std::chrono::milliseconds pause{0};
+    /// Pause between two reads of the zone's reader.
+    std::chrono::milliseconds reader_pause{0};
+    /// Age of what a follower knows from which it reads by itself.
+    std::chrono::milliseconds max_relayed_age{0};
+    /// Length from which followers are told of an outage of the reader.
+    std::chrono::milliseconds notable_outage{800};
+    /// Tells records that only renew their key. Without it, records are not
+    /// relayed: followers only learn that there are some, and read them. The
+    /// same holds for records that do not fit into a datagram.
+    relay::RecordMirror::IsRenewal is_renewal = nullptr;
   };
 
   struct Callbacks {
@@ -62,6 +77,7 @@
 
   void Start() { ReadSnapshot(); }
 
+  /// Sets the pause of a daemon that reads for itself alone.
   void SetPause(std::chrono::milliseconds pause) { m_options.pause = pause; }
 
   /// Reads at once, in addition to a waiting read. For a caller that knows that
@@ -74,9 +90,26 @@
   /// @return the offset after the last record read; empty before the first read
   std::optional<std::uint64_t> EndOffset() const { return m_end_offset; }
 
+  relay::FeedRole Role() const { return m_role; }
+
+  std::optional<codec::FeedPosition> Position() const override;
+  std::optional<codec::FeedDelta> ChangesSince(
+      const codec::FeedPosition& position,
+      std::size_t max_bytes) const override;
+  void Accept(const codec::FeedDelta& delta, MonotonicTime known_at) override;
+  void SetRole(relay::FeedRole role) override;
+
  private:
   void ReadSnapshot();
   void Read();
+  /// @return how long a follower need not read yet; zero for other roles
+  Duration RelayedTimeLeft() const;
+  std::chrono::milliseconds Pause() const;
+  void OnSnapshot(const platform::StorePage& page);
+  void DeliverRelayed(const codec::FeedDelta& delta);
+  void OnRelayedRecovery(MonotonicTime recovered_at);
+  /// Records that there was nothing after the end at this time.
+  void OnCaughtUp(MonotonicTime known_at);
   void SendRead(std::chrono::milliseconds wait, bool schedule_next);
   /// @param schedule_next whether to schedule the next read after this one
   void OnPage(const platform::StorePage& page,
@@ -98,6 +131,12 @@
   std::optional<MonotonicTime> m_failing_since;
   bool m_outage_reported = false;
   bool m_extra_read_pending = false;
+  relay::FeedRole m_role = relay::FeedRole::kIndependent;
+  std::optional<relay::RecordMirror> m_mirror;
+  /// When there was nothing after `m_next_offset`.
+  std::optional<MonotonicTime> m_known_at;
+  /// End of the latest outage.
+  std::optional<MonotonicTime> m_recovered_at;
   std::chrono::milliseconds m_retry_delay;  ///< Applies to the next failure.
   std::mt19937_64 m_random{std::random_device{}()};
 };
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -19,6 +19,7 @@
 #include "jasminehatch/detail/lease/state.h"
 #include "jasminehatch/detail/platform/engine_client.h"
 #include "jasminehatch/detail/platform/store_client.h"
+#include "jasminehatch/detail/relay/standby.h"
 #include "jasminehatch/detail/rollout/effect.h"
 #include "jasminehatch/detail/rollout/event.h"
 #include "jasminehatch/detail/rollout/state.h"
@@ -54,6 +55,8 @@
     /// Minimum time between orders of two different daemons.
     Duration lease_time = std::chrono::seconds(3);
     bool upstreams_check_fences = true;
+    /// Time without progress after which daemons on standby join.
+    Duration standby_patience = std::chrono::seconds(3);
   };
 
   WeightsRollout(asio::io_context& loop,
@@ -68,6 +71,10 @@
   /// called after each change of the registry or of the published weights.
   void Update();
 
+  /// Sets whether this daemon leaves the lease to others, as long as the
+  /// rollout makes progress.
+  void SetStandby(bool on_standby) { m_standby.SetStandby(on_standby); }
+
   /// Sets the callback that informs other daemons of changes.
   void SetUpdateCallback(
       std::function<void(const codec::WeightsUpdate&)> callback) {
@@ -132,6 +139,8 @@
   std::map<std::string, Report> m_reports;
   std::set<std::string> m_loading;  ///< Keys of accepted orders.
   std::function<void(const codec::WeightsUpdate&)> m_on_update;
+  relay::Standby m_standby;
+  std::size_t m_outdated = 0;  ///< Targets with older weights.
   std::uint64_t m_next_offset = 0;
   MonotonicTime m_last_lease_read_at{};
   MonotonicTime m_earliest_claim_at{};
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,15 @@
 /// Pause between two reads, so that one read returns several changes.
 constexpr milliseconds kReadPause{60};
 
+/// Age of what a follower knows from which it reads by itself.
+constexpr milliseconds kMaxRelayedAge{1500};
+
+/// Interval at which a follower checks that.
+constexpr milliseconds kRoleCheckInterval{200};
+
+/// Approximate size of a change in a relayed answer, in bytes.
+constexpr std::size_t kRelayedChangeBytes = 64;
+
 /// Parts of replaced weights are freed this long after the last engine has
 /// switched to other weights. An engine starts no fetch that would wait for
 /// more than two seconds, and its switch is observed when the new weights are
@@ -92,14 +102,34 @@
                                 DecisionLogField{"parts", count}};
         m_log.Write(DecisionLog::Level::kState, "cache_store_listed", fields);
         m_host.Apply(listed);
-        Read();
+        m_changes.Restart(page->epoch, page->next);
+        m_known_at = m_clock.Now();
+        ReadIfDue();
       });
 }
 
+CacheStoreFollower::ReadMode CacheStoreFollower::Mode() const {
+  if (m_role == relay::FeedRole::kReader) {
+    return {kLongPollTime, kReadPause};
+  }
+  return m_daemon_count > kMaxLongPollingDaemons
+             ? ReadMode{milliseconds(0), kLargeFleetPause}
+             : ReadMode{kLongPollTime, kReadPause};
+}
+
+void CacheStoreFollower::ReadIfDue() {
+  const bool recent =
+      m_known_at && m_clock.Now() - *m_known_at < kMaxRelayedAge;
+  if (m_role == relay::FeedRole::kFollower && recent) {
+    Schedule(kRoleCheckInterval, &CacheStoreFollower::ReadIfDue);
+    return;
+  }
+  Read();
+}
+
 void CacheStoreFollower::Read() {
-  const bool large_fleet = m_daemon_count > kMaxLongPollingDaemons;
   m_engines.ReadCacheChanges(
-      m_address, m_next_change, large_fleet ? milliseconds(0) : kLongPollTime,
+      m_address, m_next_change, Mode().wait,
       [this, alive = std::weak_ptr<int>(m_alive)](const auto& page) {
         if (!alive.expired()) {
           OnChanges(page);
@@ -119,14 +149,78 @@
     return;
   }
   m_reachable = true;
+  if (page->next < m_next_change) {
+    // Later changes were relayed while this read was in progress.
+    Schedule(Mode().pause, &CacheStoreFollower::ReadIfDue);
+    return;
+  }
   m_next_change = page->next;
   m_shared_clock_ms = page->clock_ms;
   m_shared_clock_read_at = m_clock.Now();
+  m_known_at = m_clock.Now();
   m_host.Apply(forwarding::CacheChanged{m_address, page->epoch, page->changes});
+  m_changes.Add(page->next, page->changes);
   FreeOutdatedParts();
-  Schedule(
-      m_daemon_count > kMaxLongPollingDaemons ? kLargeFleetPause : kReadPause,
-      &CacheStoreFollower::Read);
+  Schedule(Mode().pause, &CacheStoreFollower::ReadIfDue);
+}
+
+std::optional<codec::FeedPosition> CacheStoreFollower::Position() const {
+  if (!m_known_at) {
+    return std::nullopt;
+  }
+  return codec::FeedPosition{0, m_store_epoch, m_next_change};
+}
+
+std::optional<codec::FeedDelta> CacheStoreFollower::ChangesSince(
+    const codec::FeedPosition& position,
+    std::size_t max_bytes) const {
+  // A daemon that does not reach the store leaves the others to find out by
+  // themselves.
+  if (!m_known_at || !m_reachable) {
+    return std::nullopt;
+  }
+  using Status = codec::FeedDelta::Status;
+  codec::FeedDelta delta;
+  delta.epoch = m_store_epoch;
+  delta.position = m_next_change;
+  delta.age_ms = static_cast<std::uint64_t>(
+      std::chrono::ceil<milliseconds>(m_clock.Now() - *m_known_at).count());
+  if (position.epoch == m_store_epoch && position.position > m_next_change) {
+    return std::nullopt;
+  }
+  auto changes = m_changes.Since(position.epoch, position.position,
+                                 max_bytes / kRelayedChangeBytes);
+  if (!changes) {
+    delta.status = Status::kMissing;
+    return delta;
+  }
+  delta.position = changes->position;
+  delta.changes = std::move(changes->changes);
+  delta.status = changes->more ? Status::kPartial : Status::kComplete;
+  return delta;
+}
+
+void CacheStoreFollower::Accept(const codec::FeedDelta& delta,
+                                MonotonicTime known_at) {
+  if (!m_known_at || m_role != relay::FeedRole::kFollower) {
+    return;
+  }
+  if (delta.status == codec::FeedDelta::Status::kMissing) {
+    // Its own next read finds the gap or the restart of the store.
+    m_known_at = MonotonicTime{};
+    return;
+  }
+  if (delta.epoch != m_store_epoch || delta.position < m_next_change) {
+    return;
+  }
+  m_next_change = delta.position;
+  m_reachable = true;
+  m_changes.Add(delta.position, delta.changes);
+  m_host.Apply(
+      forwarding::CacheChanged{m_address, m_store_epoch, delta.changes});
+  if (delta.status == codec::FeedDelta::Status::kComplete) {
+    m_known_at = std::max(*m_known_at, known_at);
+  }
 }
 
 void CacheStoreFollower::OnReadFailed() {
@@ -142,6 +236,7 @@
   const auto store = state.stores.All().find(m_address);
   if (store == state.stores.All().end() ||
       !store->second.spec.externally_managed || m_shared_clock_ms == 0 ||
+      m_role == relay::FeedRole::kFollower ||
       m_clock.Now() > m_freeing_allowed_until) {
     m_outdated_parts_since.reset();
     return;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -21,6 +21,7 @@
 #include "jasminehatch/detail/forwarder/peer_gossip.h"
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/detail/forwarder/weights_rollout.h"
+#include "jasminehatch/detail/forwarder/zone_relay.h"
 #include "jasminehatch/net.h"
 #include "jasminehatch/platform.h"
 #include "jasminehatch/telemetry.h"
@@ -61,6 +62,24 @@
 /// The pause in a large fleet, where the calls of all daemons add up.
 constexpr double kLargeFleetRegistryPauseFraction = 0.55;
 
+/// In a zone that relays the registry, the pause of its reader, and the age of
+/// what a follower knows from which it reads by itself.
+constexpr double kReaderRegistryPauseFraction = 0.3;
+constexpr double kMaxRelayedRegistryAgeFraction = 0.55;
+
+/// In a zone that relays the configuration, the ages at which its reader and a
+/// follower renew their freshness proofs, as fractions of
+/// `Options::max_proof_age`. The reader's proofs reach the followers before
+/// they would renew their own.
+constexpr double kReaderProofRenewFraction = 0.2;
+constexpr double kFollowerProofRenewFraction = 0.4;
+
+/// Names of the feeds that are relayed; those of cache stores are followed by
+/// the store's address.
+constexpr char kConfigurationFeed[] = "configuration";
+constexpr char kRegistryFeed[] = "registry";
+constexpr std::string_view kCacheStoreFeedPrefix = "cache_store/";
+
 /// How long registry records count as current. Parts in cache stores are freed
 /// only within this time after records were read.
 constexpr milliseconds kRegistryFreshTime{3000};
@@ -80,6 +99,10 @@
 /// request may start on older weights.
 constexpr double kVersionLimitFraction = 0.85;
 
+/// Time without progress after which followers join a rollout, as a fraction of
+/// `version_limit`. They join within as much time again.
+constexpr double kStandbyPatienceFraction = 0.35;
+
 /// Time until the load balancer sends no more requests: it probes once a second
 /// and removes a daemon after two failed probes.
 constexpr milliseconds kBalancerDetectionTime{2600};
@@ -115,6 +138,37 @@
   return options;
 }
 
+TopicFollower::Options ConfigurationTopicOptions(
+    const codec::ForwarderSettings& settings) {
+  TopicFollower::Options options;
+  options.topic = platform::kOperatorTopic;
+  options.max_wait = kConfigurationLongPollTime;
+  options.max_relayed_age = std::chrono::duration_cast<milliseconds>(
+      settings.revoke_limit * kProofLimitFraction *
+      kFollowerProofRenewFraction);
+  options.notable_outage = kRegistryOutageThreshold;
+  options.is_renewal = [](std::string_view before, std::string_view after) {
+    return before == after;
+  };
+  return options;
+}
+
+TopicFollower::Options RegistryTopicOptions(
+    const codec::ForwarderSettings& settings) {
+  const auto share = [&](double fraction) {
+    return std::chrono::duration_cast<milliseconds>(settings.drain_limit *
+                                                    fraction);
+  };
+  TopicFollower::Options options;
+  options.topic = platform::kUpstreamTopic;
+  options.pause = share(kRegistryPauseFraction);
+  options.reader_pause = share(kReaderRegistryPauseFraction);
+  options.max_relayed_age = share(kMaxRelayedRegistryAgeFraction);
+  options.notable_outage = kRegistryOutageThreshold;
+  options.is_renewal = &platform::IsUpstreamRenewal;
+  return options;
+}
+
 }  // namespace
 
 class Forwarder::Impl {
@@ -145,19 +199,18 @@
                   m_host,
                   m_log,
                   {settings.name, incarnation, settings.lease_time,
-                   settings.upstreams_check_fences}),
+                   settings.upstreams_check_fences,
+                   std::chrono::duration_cast<Duration>(
+                       settings.version_limit * kStandbyPatienceFraction)}),
         m_configuration(loop,
                         m_store,
                         clock,
-                        {std::string(platform::kOperatorTopic),
-                         kConfigurationLongPollTime, milliseconds(0)},
+                        ConfigurationTopicOptions(settings),
                         ConfigurationCallbacks()),
         m_registry(loop,
                    m_store,
                    clock,
-                   {std::string(platform::kUpstreamTopic), milliseconds(0),
-                    std::chrono::duration_cast<milliseconds>(
-                        settings.drain_limit * kRegistryPauseFraction)},
+                   RegistryTopicOptions(settings),
                    RegistryCallbacks()),
         m_stop_timer(loop),
         m_log_timer(loop),
@@ -190,6 +243,7 @@
     m_server->CloseAfterResponses();
     m_rollout.Stop();
     if (m_gossip) {
+      m_relay->Stop();
       m_gossip->Stop();
     }
     CheckStop();
@@ -202,8 +256,11 @@
         settings.ready_address != m_settings.ready_address ||
         settings.metrics_address != m_settings.metrics_address ||
         settings.peer_address != m_settings.peer_address ||
+        settings.advertised_peer_address !=
+            m_settings.advertised_peer_address ||
         settings.store_address != m_settings.store_address ||
         settings.name != m_settings.name || settings.zone != m_settings.zone ||
+        settings.upstreams_check_fences != m_settings.upstreams_check_fences ||
         settings.lease_time != m_settings.lease_time ||
         settings.drain_limit != m_settings.drain_limit;
     const std::array fields{
@@ -221,8 +278,16 @@
   void OnOperatorRecords(std::span<const platform::StoreRecord> records,
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
+  /// @param known_at when the registry had nothing that this daemon lacks
+  void OnRegistryKnown(MonotonicTime known_at);
   void UpdateCacheStoreFollowers();
+  /// @return the position of this daemon in the order in which daemons free
+  /// parts of cache stores
+  std::size_t FreeingRank() const;
   void RenewFreshnessProof();
+  /// @return the age at which the freshness proof is renewed, as a fraction of
+  /// `Options::max_proof_age`
+  double ProofRenewFraction() const;
   void StartGossip(std::uint64_t incarnation);
   void LogDependency(std::string_view event,
                      std::string_view dependency,
@@ -245,6 +310,7 @@
   TopicFollower m_registry;
   std::unique_ptr<PeerGossip> m_gossip;
   std::map<std::string, CacheStoreFollower> m_cache_stores;  ///< By address.
+  std::unique_ptr<ZoneRelay> m_relay;
   std::unique_ptr<net::StreamServer> m_server;
   std::unique_ptr<net::HttpServer> m_ready_server;
   std::unique_ptr<net::HttpServer> m_metrics_server;
@@ -339,7 +405,9 @@
     m_rollout.Update();
   };
   callbacks.on_records = [this](auto records) { OnUpstreamRecords(records); };
-  callbacks.on_caught_up = [](MonotonicTime) {};
+  callbacks.on_caught_up = [this](MonotonicTime known_at) {
+    OnRegistryKnown(known_at);
+  };
   callbacks.on_unavailable = [this](const std::string& detail) {
     LogDependency("dependency_lost", "registry", detail);
   };
@@ -394,8 +462,16 @@
   m_gossip = std::make_unique<PeerGossip>(
       m_loop, m_clock, m_store, m_host, m_log,
       PeerGossip::Options{m_settings.name, m_settings.zone,
-                          m_settings.peer_address, incarnation});
+                          m_settings.peer_address, incarnation,
+                          m_settings.advertised_peer_address,
+                          m_settings.capacity});
   m_gossip->Start();
+  m_relay = std::make_unique<ZoneRelay>(
+      m_loop, m_clock, *m_gossip, m_log, m_metrics,
+      relay::ReaderCandidate{m_settings.name, m_settings.capacity});
+  m_relay->AddFeed(kConfigurationFeed, m_configuration);
+  m_relay->AddFeed(kRegistryFeed, m_registry);
+  m_relay->Start();
   m_gossip->ShareFreshnessProofs(
       [this]() -> std::optional<PeerGossip::FreshnessProof> {
         const auto end = m_configuration.EndOffset();
@@ -424,12 +500,8 @@
 void Forwarder::Impl::RenewFreshnessProof() {
   const forwarding::State& state = m_host.State();
   const auto age = m_clock.Now() - state.confirmed_at.value_or(m_clock.Now());
-  const bool large = m_gossip && m_gossip->LivePeerCount() > kLargeFleetSize;
-  const double max_jitter =
-      large ? kLargeFleetProofJitterFraction : kProofJitterFraction;
-  const double fraction = kProofRenewFraction + max_jitter * m_proof_jitter;
   if (age >= std::chrono::duration_cast<Duration>(state.options.max_proof_age *
-                                                  fraction) &&
+                                                  ProofRenewFraction()) &&
       m_clock.Now() - m_proof_requested_at >= (m_configuration.IsFailing()
                                                    ? kProofRetryDelayInOutage
                                                    : kProofRetryDelay)) {
@@ -445,13 +517,34 @@
   });
 }
 
+double Forwarder::Impl::ProofRenewFraction() const {
+  switch (m_configuration.Role()) {
+    case relay::FeedRole::kReader:
+      return kReaderProofRenewFraction;
+    case relay::FeedRole::kFollower:
+      return kFollowerProofRenewFraction;
+    case relay::FeedRole::kIndependent:
+      break;
+  }
+  const bool large = m_gossip && m_gossip->LivePeerCount() > kLargeFleetSize;
+  const double max_jitter =
+      large ? kLargeFleetProofJitterFraction : kProofJitterFraction;
+  return kProofRenewFraction + max_jitter * m_proof_jitter;
+}
+
 void Forwarder::Impl::UpdateCacheStoreFollowers() {
   const auto& stores = m_host.State().stores.All();
   std::erase_if(m_cache_stores, [&](const auto& entry) {
-    return !stores.contains(entry.first);
+    if (stores.contains(entry.first)) {
+      return false;
+    }
+    if (m_relay) {
+      m_relay->RemoveFeed(std::string(kCacheStoreFeedPrefix) + entry.first);
+    }
+    return true;
   });
   const std::size_t daemons = 1 + (m_gossip ? m_gossip->LivePeerCount() : 0);
-  const std::size_t rank = m_gossip ? m_gossip->Rank() : 0;
+  const std::size_t rank = FreeingRank();
   m_registry.SetPause(std::chrono::duration_cast<milliseconds>(
       m_settings.drain_limit * (daemons > kLargeFleetSize
                                     ? kLargeFleetRegistryPauseFraction
@@ -463,11 +556,25 @@
     follower->second.AllowFreeingUntil(m_registry_fresh_until);
     follower->second.FreeOutdatedParts();
     if (added) {
+      if (m_relay) {
+        m_relay->AddFeed(std::string(kCacheStoreFeedPrefix) + address,
+                         follower->second);
+      }
       follower->second.Start();
     }
   }
 }
 
+std::size_t Forwarder::Impl::FreeingRank() const {
+  if (!m_gossip) {
+    return 0;
+  }
+  // Where feeds are relayed, only one daemon of each zone frees parts.
+  return m_registry.Role() == relay::FeedRole::kIndependent
+             ? m_gossip->Rank()
+             : m_gossip->ZoneIndex();
+}
+
 void Forwarder::Impl::OnUpstreamRecords(
     std::span<const platform::StoreRecord> records) {
   for (const platform::StoreRecord& record : records) {
@@ -484,7 +591,12 @@
     m_registry_populated = true;
     m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
   }
-  m_registry_fresh_until = m_clock.Now() + kRegistryFreshTime;
+}
+
+void Forwarder::Impl::OnRegistryKnown(MonotonicTime known_at) {
+  m_registry_fresh_until =
+      std::max(m_registry_fresh_until, known_at + kRegistryFreshTime);
+  m_rollout.SetStandby(m_registry.Role() == relay::FeedRole::kFollower);
   m_rollout.Update();
   UpdateCacheStoreFollowers();
 }
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
+#include <set>
 #include <utility>
 
 #include "jasminehatch/codec.h"
@@ -72,6 +73,9 @@
       m_socket(loop),
       m_send_timer(loop),
       m_register_timer(loop) {
+  if (m_options.advertised_address.empty()) {
+    m_options.advertised_address = m_options.address;
+  }
   const auto address = net::ParseIpPort(options.address);
   if (!address) {
     throw TransportError(
@@ -104,7 +108,7 @@
 }
 
 void PeerGossip::Register() {
-  const codec::DaemonAddress own{m_options.address, m_options.zone,
+  const codec::DaemonAddress own{m_options.advertised_address, m_options.zone,
                                  m_options.incarnation};
   m_store.AppendKeyed(
       platform::kDaemonTopic, m_options.daemon, own.Encode(),
@@ -201,6 +205,11 @@
 }
 
 void PeerGossip::OnMessage(std::string_view data) {
+  if (!data.empty() &&
+      m_datagram_marks.find(data.front()) != std::string::npos) {
+    m_on_datagram(data);
+    return;
+  }
   codec::GossipMessage message;
   try {
     message = codec::GossipMessage::Decode(data);
@@ -223,6 +232,7 @@
   found->second.last_sequence = message.sequence;
   found->second.last_sent_ms = message.sent_ms;
   found->second.message_received = true;
+  found->second.capacity = message.capacity;
   if (m_on_peer_proof && message.freshness_proof_age_ms &&
       message.echo_ms > 0) {
     // The proof had this age when the peer sent the message. `echo_ms` is a
@@ -296,6 +306,43 @@
       [now](const auto& entry) { return IsLive(entry.second, now); }));
 }
 
+std::vector<relay::ReaderCandidate> PeerGossip::LiveZonePeers() const {
+  const MonotonicTime now = m_clock.Now();
+  std::vector<relay::ReaderCandidate> peers;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.zone == m_options.zone && peer.capacity && IsLive(peer, now)) {
+      peers.push_back({name, *peer.capacity});
+    }
+  }
+  return peers;
+}
+
+std::size_t PeerGossip::ZoneIndex() const {
+  std::set<std::string_view> zones;
+  for (const auto& [name, peer] : m_peers) {
+    if (peer.zone < m_options.zone) {
+      zones.insert(peer.zone);
+    }
+  }
+  return zones.size();
+}
+
+void PeerGossip::SendDatagram(const std::string& peer, std::string_view bytes) {
+  const auto found = m_peers.find(peer);
+  if (found != m_peers.end() && !m_stopped) {
+    asio::error_code ignored;
+    m_socket.send_to(asio::buffer(bytes.data(), bytes.size()),
+                     found->second.endpoint, 0, ignored);
+  }
+}
+
+void PeerGossip::RecordDatagram(const std::string& peer) {
+  const auto found = m_peers.find(peer);
+  if (found != m_peers.end()) {
+    found->second.last_seen_at = m_clock.Now();
+  }
+}
+
 void PeerGossip::Send() {
   const Recipients recipients = ChooseRecipients();
   if (recipients.own_load_peers.empty() && recipients.zone_load_peers.empty()) {
@@ -319,9 +366,10 @@
   }
   codec::GossipMessage message;
   message.daemon = m_options.daemon;
-  message.address = m_options.address;
+  message.address = m_options.advertised_address;
   message.zone = m_options.zone;
   message.incarnation = m_options.incarnation;
+  message.capacity = m_options.capacity;
   for (const auto& [id, upstream] : m_host.State().upstreams.All()) {
     if (upstream->in_flight > 0) {
       message.loads.push_back({forwarding::FleetLoad::CompactId(id),
--- a/packages/daemon/src/forwarder/topic_follower.cc
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <chrono>
+#include <span>
 #include <utility>
+#include <vector>
 
 #include "jasminehatch/detail/base/clock.h"
 #include "jasminehatch/platform.h"
@@ -21,6 +24,34 @@
 /// together.
 constexpr double kMinDelayFraction = 0.6;
 
+/// Interval at which a follower checks whether it has to read by itself.
+constexpr std::chrono::milliseconds kRoleCheckInterval{200};
+
+/// Time for which followers are told that the store could be read again after
+/// an outage. A later outage is told apart from the same one by more than that.
+constexpr std::chrono::milliseconds kRecoveryNoticeTime{2000};
+
+/// Larger records, such as configurations, do not fit into a datagram.
+constexpr std::size_t kMaxRelayedRecordBytes = 4096;
+
+bool HasLargeRecord(std::span<const relay::Record> records) {
+  return std::any_of(records.begin(), records.end(),
+                     [](const relay::Record& record) {
+                       return record.value.size() > kMaxRelayedRecordBytes;
+                     });
+}
+
+relay::Record ToRelayed(const platform::StoreRecord& record) {
+  return {record.offset, record.key, record.value, record.removed};
+}
+
+std::uint64_t AgeInMilliseconds(Duration age) {
+  return static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(
+          std::max(age, Duration::zero()))
+          .count());
+}
+
 }  // namespace
 
 TopicFollower::TopicFollower(asio::io_context& loop,
@@ -33,7 +64,11 @@
       m_options(std::move(options)),
       m_callbacks(std::move(callbacks)),
       m_timer(loop),
-      m_retry_delay(kInitialRetryDelay) {}
+      m_retry_delay(kInitialRetryDelay) {
+  if (m_options.is_renewal != nullptr) {
+    m_mirror.emplace(m_options.is_renewal);
+  }
+}
 
 void TopicFollower::ReadSnapshot() {
   const MonotonicTime sent_at = m_clock.Now();
@@ -45,15 +80,53 @@
                          return;
                        }
                        OnReadSucceeded();
-                       m_next_offset = page.end;
-                       m_end_offset = m_next_offset;
-                       m_callbacks.on_snapshot(page.records);
-                       m_callbacks.on_caught_up(sent_at);
-                       Schedule(m_options.pause, &TopicFollower::Read);
+                       OnSnapshot(page);
+                       OnCaughtUp(sent_at);
+                       Schedule(Pause(), &TopicFollower::Read);
                      });
 }
 
+void TopicFollower::OnSnapshot(const platform::StorePage& page) {
+  m_next_offset = page.end;
+  m_end_offset = m_next_offset;
+  if (m_mirror) {
+    std::vector<relay::Record> records;
+    for (const platform::StoreRecord& record : page.records) {
+      records.push_back(ToRelayed(record));
+    }
+    m_mirror->Reset(records, page.end);
+  }
+  m_callbacks.on_snapshot(page.records);
+}
+
+void TopicFollower::OnCaughtUp(MonotonicTime known_at) {
+  m_known_at = std::max(m_known_at.value_or(known_at), known_at);
+  m_callbacks.on_caught_up(known_at);
+}
+
+Duration TopicFollower::RelayedTimeLeft() const {
+  if (m_role != relay::FeedRole::kFollower || !m_known_at) {
+    return Duration::zero();
+  }
+  return std::max<Duration>(
+      *m_known_at + m_options.max_relayed_age - m_clock.Now(),
+      Duration::zero());
+}
+
+std::chrono::milliseconds TopicFollower::Pause() const {
+  return m_role == relay::FeedRole::kReader ? m_options.reader_pause
+                                            : m_options.pause;
+}
+
 void TopicFollower::Read() {
+  const Duration left = RelayedTimeLeft();
+  if (left > Duration::zero()) {
+    // The role may change meanwhile.
+    Schedule(std::min(std::chrono::ceil<std::chrono::milliseconds>(left),
+                      kRoleCheckInterval),
+             &TopicFollower::Read);
+    return;
+  }
   SendRead(m_options.max_wait, true);
 }
 
@@ -97,13 +170,13 @@
   OnReadSucceeded();
   Deliver(page);
   if (m_next_offset == page.end) {
-    m_callbacks.on_caught_up(sent_at);
+    OnCaughtUp(sent_at);
   }
   if (schedule_next) {
     // A page that ends before the newest record is followed by the next at
     // once.
     const bool more = m_next_offset < page.end;
-    Schedule(more ? std::chrono::milliseconds(0) : m_options.pause,
+    Schedule(more ? std::chrono::milliseconds(0) : Pause(),
              &TopicFollower::Read);
   }
 }
@@ -119,9 +192,107 @@
   }
   m_next_offset = page.records.back().offset + 1;
   m_end_offset = m_next_offset;
+  if (m_mirror) {
+    for (auto record = first; record != page.records.end(); ++record) {
+      m_mirror->Add(ToRelayed(*record));
+    }
+    m_mirror->SetEnd(m_next_offset);
+  }
   m_callbacks.on_records({first, page.records.end()});
 }
 
+std::optional<codec::FeedPosition> TopicFollower::Position() const {
+  if (!m_end_offset) {
+    return std::nullopt;
+  }
+  return codec::FeedPosition{0, 0, m_next_offset};
+}
+
+std::optional<codec::FeedDelta> TopicFollower::ChangesSince(
+    const codec::FeedPosition& position,
+    std::size_t max_bytes) const {
+  if (!m_end_offset || !m_known_at || position.position > m_next_offset) {
+    return std::nullopt;
+  }
+  using Status = codec::FeedDelta::Status;
+  const MonotonicTime now = m_clock.Now();
+  codec::FeedDelta delta;
+  delta.position = m_next_offset;
+  delta.age_ms = AgeInMilliseconds(now - *m_known_at);
+  if (m_recovered_at && now - *m_recovered_at <= kRecoveryNoticeTime) {
+    delta.recovered_age_ms = AgeInMilliseconds(now - *m_recovered_at);
+  }
+  if (position.position == m_next_offset) {
+    return delta;
+  }
+  auto changes =
+      m_mirror ? m_mirror->Since(position.position, max_bytes) : std::nullopt;
+  if (!changes || HasLargeRecord(changes->records)) {
+    delta.status = Status::kMissing;
+    return delta;
+  }
+  delta.records = std::move(changes->records);
+  delta.position = changes->end;
+  delta.status = changes->more ? Status::kPartial : Status::kComplete;
+  return delta;
+}
+
+void TopicFollower::Accept(const codec::FeedDelta& delta,
+                           MonotonicTime known_at) {
+  if (!m_end_offset || delta.position < m_next_offset) {
+    return;
+  }
+  if (delta.status == codec::FeedDelta::Status::kMissing) {
+    if (delta.position > m_next_offset) {
+      ReadNow();
+    }
+    return;
+  }
+  if (delta.recovered_age_ms && m_mirror) {
+    OnRelayedRecovery(m_clock.Now() -
+                      std::chrono::milliseconds(*delta.recovered_age_ms));
+  }
+  DeliverRelayed(delta);
+  if (delta.status == codec::FeedDelta::Status::kComplete) {
+    OnCaughtUp(known_at);
+  }
+}
+
+void TopicFollower::DeliverRelayed(const codec::FeedDelta& delta) {
+  std::vector<platform::StoreRecord> records;
+  for (const relay::Record& record : delta.records) {
+    if (record.offset < m_next_offset) {
+      continue;
+    }
+    records.push_back(
+        {record.offset, record.key, record.value, record.removed});
+    if (m_mirror) {
+      m_mirror->Add(record);
+    }
+  }
+  m_next_offset = delta.position;
+  m_end_offset = m_next_offset;
+  if (m_mirror) {
+    m_mirror->SetEnd(m_next_offset);
+  }
+  if (!records.empty()) {
+    m_callbacks.on_records(records);
+  }
+}
+
+void TopicFollower::OnRelayedRecovery(MonotonicTime recovered_at) {
+  // Both times may differ by the delay of a message.
+  if (m_recovered_at && recovered_at < *m_recovered_at + kRecoveryNoticeTime) {
+    return;
+  }
+  m_recovered_at = recovered_at;
+  m_callbacks.on_recovered(m_options.notable_outage);
+}
+
+void TopicFollower::SetRole(relay::FeedRole role) {
+  m_role = role;
+}
+
 std::chrono::milliseconds TopicFollower::RetryDelay() {
   const std::chrono::milliseconds full_delay = m_retry_delay;
   m_retry_delay = std::min(m_retry_delay * 2, kMaxRetryDelay);
@@ -136,7 +307,11 @@
   const auto since = std::exchange(m_failing_since, std::nullopt);
   if (since) {
     m_outage_reported = false;
-    m_callbacks.on_recovered(m_clock.Now() - *since);
+    const Duration outage = m_clock.Now() - *since;
+    if (outage >= m_options.notable_outage) {
+      m_recovered_at = m_clock.Now();
+    }
+    m_callbacks.on_recovered(outage);
   }
 }
 
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -28,6 +28,7 @@
 constexpr char kLeaseGroup[] = "weights";
 
 constexpr milliseconds kTickInterval{60};
+constexpr milliseconds kStandbyTickInterval{300};
 
 /// Interval at which engines that load weights are queried. The platform
 /// charges for each query as for a health check.
@@ -79,7 +80,8 @@
       m_host(host),
       m_log(log),
       m_options(options),
-      m_timer(loop) {
+      m_timer(loop),
+      m_standby(options.daemon, options.standby_patience) {
   m_lease.self = {options.daemon, options.incarnation};
   // A new holder sends its first order at least one lease time after the last
   // order of its predecessor.
@@ -117,11 +119,14 @@
     return;
   }
   auto targets = CollectTargets();
-  bool outdated = false;
-  for (const auto& [key, target] : targets) {
-    outdated = outdated || target.current < target.wanted;
-  }
-  if (!outdated) {
+  const auto outdated = static_cast<std::size_t>(
+      std::count_if(targets.begin(), targets.end(), [](const auto& entry) {
+        return entry.second.current < entry.second.wanted;
+      }));
+  if (outdated != std::exchange(m_outdated, outdated)) {
+    m_standby.OnProgress(m_clock.Now());
+  }
+  if (outdated == 0) {
     if (m_active) {
       Deactivate();
     }
@@ -154,7 +159,9 @@
       forwarding::StableHash(m_options.daemon) % kClaimSlots;
   m_earliest_claim_at = m_clock.Now() + kClaimStagger * slot;
   m_log.Write(DecisionLog::Level::kState, "rollout_pending", {});
-  ReadLease();
+  if (m_standby.TakesPart(m_clock.Now())) {
+    ReadLease();
+  }
   ArmTimer();
 }
 
@@ -225,7 +232,9 @@
     return;
   }
   m_timer_armed = true;
-  m_timer.expires_after(kTickInterval);
+  m_timer.expires_after(m_standby.TakesPart(m_clock.Now())
+                            ? kTickInterval
+                            : kStandbyTickInterval);
   m_timer.async_wait([this](const asio::error_code& error) {
     m_timer_armed = false;
     if (!error) {
@@ -241,6 +250,10 @@
   }
   const MonotonicTime now = m_clock.Now();
   const bool is_holder = m_rollout.holder;
+  if (!is_holder && !m_standby.TakesPart(now)) {
+    ArmTimer();
+    return;
+  }
   if (!is_holder && now - m_last_lease_read_at >= kLeaseReadInterval) {
     ReadLease();
   }
--- a/packages/daemon/tests/endless_test.cc
+++ b/packages/daemon/tests/endless_test.cc
@@ -52,16 +52,16 @@
     const emulator::PlatformWorkspace workspaces[] = {{"w", "key"}};
     m_platform.PutConfiguration(
         emulator::PlatformConfiguration(1, "desk", kRoutes, workspaces));
-    m_platform.PutUpstream(
-        "u1", emulator::UpstreamEmulator(m_loop, "u1")
-                  .Entry("desk", false, m_upstream.Address()));
+    m_platform.PutUpstream("u1",
+                           emulator::UpstreamEmulator(m_loop, "u1")
+                               .Entry("desk", false, m_upstream.Address()));
     m_settings.name = "e1";
     m_settings.zone = "a";
     m_settings.address = emulator::FreeTcpAddress(m_loop);
     m_settings.ready_address = emulator::FreeTcpAddress(m_loop);
     m_settings.store_address = m_platform.Address();
-    m_daemon = std::make_unique<daemon::Forwarder>(m_loop, m_settings, m_clock,
-                                                   1, -1);
+    m_daemon =
+        std::make_unique<daemon::Forwarder>(m_loop, m_settings, m_clock, 1, -1);
     CHECK(RunUntil([this] { return m_daemon->IsReady(); }));
   }
 
@@ -129,10 +129,11 @@
   load.slots = 4;
   load.incarnation = 1;
   load.weight_version = "v1";
-  const std::string body =
-      request.starts_with("GET /engine/v1/load")   ? codec::BuildLoadReport(load)
-      : request.starts_with("GET /engine/v1/cache") ? codec::BuildCacheListing({})
-                                                    : codec::BuildCacheChanges({});
+  const std::string body = request.starts_with("GET /engine/v1/load")
+                               ? codec::BuildLoadReport(load)
+                           : request.starts_with("GET /engine/v1/cache")
+                               ? codec::BuildCacheListing({})
+                               : codec::BuildCacheChanges({});
   return std::string(emulator::kOkStatusLine) +
          "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
@@ -142,8 +143,7 @@
   for (const char* route : {"/once/x", "/again/x", "/stream/x"}) {
     EndlessFixture fixture(bytes);
     const auto outcome = fixture.Call(route);
-    CHECK_TRUE_TEXT(outcome.status == 502 || outcome.status == 504,
-                    bytes.name);
+    CHECK_TRUE_TEXT(outcome.status == 502 || outcome.status == 504, bytes.name);
     CHECK_TRUE_TEXT(
         outcome.body.find("\"verdict\":\"may_have_run\"") != std::string::npos,
         bytes.name);
@@ -199,10 +199,9 @@
     fleet.RunUntil([&] { return fleet.daemons[0]->IsReady(); });
     const auto result = fleet.Call(fleet.Chat("hello", false));
     CHECK_TRUE_TEXT(result.status >= 500, bytes.name);
-    STRCMP_EQUAL("may_have_run",
-                 daemon::test::ErrorOf(result)["verdict"]
-                     .get<std::string>()
-                     .c_str());
+    STRCMP_EQUAL(
+        "may_have_run",
+        daemon::test::ErrorOf(result)["verdict"].get<std::string>().c_str());
     fleet.daemons.clear();
     fleet.RunUntil([&] { return engine.AllClosed(); });
   }
--- a/packages/emulator/src/endless_writer.cc
+++ b/packages/emulator/src/endless_writer.cc
@@ -21,7 +21,8 @@
     EndlessBytes{"informational responses", "",
                  "HTTP/1.1 100 Continue\r\n\r\n"},
     EndlessBytes{"body", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaa"},
-    EndlessBytes{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    EndlessBytes{"chunks",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
                  "8\r\naaaaaaaa\r\n"},
     EndlessBytes{"chunk extension",
                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8;",
@@ -39,11 +40,12 @@
     EndlessBytes{"empty lines", "", "\r\n"},
     EndlessBytes{"request line", "GET /", "aaaaaaaa"},
     EndlessBytes{"header lines", "GET / HTTP/1.1\r\nHost: h\r\n", "X-A: b\r\n"},
-    EndlessBytes{"header line", "GET / HTTP/1.1\r\nHost: h\r\nX-A: ",
-                 "aaaaaaaa"},
-    EndlessBytes{"chunks",
-                 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
-                 "8\r\naaaaaaaa\r\n"},
+    EndlessBytes{"header line",
+                 "GET / HTTP/1.1\r\nHost: h\r\nX-A: ", "aaaaaaaa"},
+    EndlessBytes{
+        "chunks",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "8\r\naaaaaaaa\r\n"},
     EndlessBytes{"chunk extension",
                  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
                  "chunked\r\n\r\n8;",
@@ -52,11 +54,12 @@
                  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
                  "chunked\r\n\r\n0\r\n",
                  "X-A: b\r\n"},
-    EndlessBytes{"single bytes of a head", "GET / HTTP/1.1\r\nHost: h\r\nX-A: ",
-                 "a", milliseconds(10)},
-    EndlessBytes{"single bytes of a body",
-                 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n",
-                 "a", milliseconds(10)}};
+    EndlessBytes{"single bytes of a head",
+                 "GET / HTTP/1.1\r\nHost: h\r\nX-A: ", "a", milliseconds(10)},
+    EndlessBytes{
+        "single bytes of a body",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n", "a",
+        milliseconds(10)}};
 
 }  // namespace
 
--- a/packages/net/src/http/http_client.cc
+++ b/packages/net/src/http/http_client.cc
@@ -386,9 +386,9 @@
       curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
       transfer->result.status = static_cast<int>(status);
       if (code != CURLE_OK) {
-        transfer->result.error =
-            transfer->too_large ? "the response is larger than its limit"
-                                : curl_easy_strerror(code);
+        transfer->result.error = transfer->too_large
+                                     ? "the response is larger than its limit"
+                                     : curl_easy_strerror(code);
       }
       curl_multi_remove_handle(m_multi, easy);
       auto node = m_transfers.extract(transfer->id);
--- a/packages/net/tests/endless_test.cc
+++ b/packages/net/tests/endless_test.cc
@@ -56,8 +56,8 @@
     const std::size_t memory = ResidentMemory();
     const auto socket = std::make_shared<tcp::socket>(loop);
     socket->connect(tcp::endpoint(asio::ip::address_v4::loopback(), port));
-    const auto writer = std::make_shared<emulator::EndlessWriter>(
-        socket, bytes, bytes.start);
+    const auto writer =
+        std::make_shared<emulator::EndlessWriter>(socket, bytes, bytes.start);
     writer->Start();
     CHECK_TRUE_TEXT(RunUntil(loop, [&] { return writer->IsClosed(); }),
                     bytes.name);
@@ -172,10 +172,10 @@
   HttpServer::Options options;
   options.read_timeout = 600ms;
   options.body_limit = 1UL << 20U;
-  HttpServer server(loop, options,
-                    [](const HttpRequest&,
-                       const std::shared_ptr<ResponseWriter>& writer) {
-                      writer->Send(200, {}, "");
-                    });
+  HttpServer server(
+      loop, options,
+      [](const HttpRequest&, const std::shared_ptr<ResponseWriter>& writer) {
+        writer->Send(200, {}, "");
+      });
   CheckEndlessRequests(loop, server.Port());
 }
--- a/packages/soak/include/jasminehatch/detail/soak/loopback_proxy.h
+++ b/packages/soak/include/jasminehatch/detail/soak/loopback_proxy.h
@@ -22,7 +22,7 @@
   /// The client gets bytes that are no response, without end, until it closes
   /// the connection.
   kEndless,
-  kCount,        ///< Number of faults; not a fault itself.
+  kCount,  ///< Number of faults; not a fault itself.
 };
 
 /// @brief Forwards TCP connections to one server on the loopback interface and
--- a/packages/soak/src/datagram_proxy.cc
+++ b/packages/soak/src/datagram_proxy.cc
@@ -83,14 +83,14 @@
   }
   const auto timer =
       std::make_shared<asio::steady_timer>(m_socket.get_executor(), kDelay);
-  timer->async_wait([this, timer, data = std::move(data),
-                     alive = std::weak_ptr<int>(m_alive)](
-                        const asio::error_code& error) {
-    if (!error && !alive.expired()) {
-      asio::error_code unsent;
-      m_socket.send_to(asio::buffer(data), m_target, 0, unsent);
-    }
-  });
+  timer->async_wait(
+      [this, timer, data = std::move(data),
+       alive = std::weak_ptr<int>(m_alive)](const asio::error_code& error) {
+        if (!error && !alive.expired()) {
+          asio::error_code unsent;
+          m_socket.send_to(asio::buffer(data), m_target, 0, unsent);
+        }
+      });
 }
 
 void DatagramProxy::SendGarbage() {
--- a/packages/soak/src/soak_faults.cc
+++ b/packages/soak/src/soak_faults.cc
@@ -19,7 +19,7 @@
 constexpr std::chrono::seconds kSampleTime{3};
 
 constexpr LinkFault kLinkFaults[] = {
-    LinkFault::kDelay, LinkFault::kReset, LinkFault::kSilent,
+    LinkFault::kDelay,       LinkFault::kReset,       LinkFault::kSilent,
     LinkFault::kCutToServer, LinkFault::kCutToClient, LinkFault::kEndless};
 
 }  // namespace
