Keep the ports of the daemon's tests on an address of their own

Cause: the tests bound a free port of 127.0.0.1, released it and let the daemon bind it later. On an address that all processes share, the kernel gives such a port to the next socket that asks for one; the soak and the process test run at the same time.

Change: these tests take their ports from LoopbackHost, an address that only their process uses, as the test of early signals does.

--- a/packages/daemon/tests/endless_test.cc
+++ b/packages/daemon/tests/endless_test.cc
@@ -57,8 +57,8 @@
                                .Entry("desk", false, m_upstream.Address()));
     m_settings.name = "e1";
     m_settings.zone = "a";
-    m_settings.address = emulator::FreeTcpAddress(m_loop);
-    m_settings.ready_address = emulator::FreeTcpAddress(m_loop);
+    m_settings.address = m_host.NewTcpAddress(m_loop);
+    m_settings.ready_address = m_host.NewTcpAddress(m_loop);
     m_settings.store_address = m_platform.Address();
     m_daemon =
         std::make_unique<daemon::Forwarder>(m_loop, m_settings, m_clock, 1, -1);
@@ -112,6 +112,7 @@
 
  private:
   asio::io_context m_loop{1};
+  emulator::LoopbackHost m_host;
   emulator::PlatformEmulator m_platform{m_loop};
   emulator::EndlessServer m_upstream;
   net::StreamClient m_client;
--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -66,8 +66,8 @@
     }
     m_settings.name = "e1";
     m_settings.zone = "a";
-    m_settings.address = emulator::FreeTcpAddress(m_loop);
-    m_settings.ready_address = emulator::FreeTcpAddress(m_loop);
+    m_settings.address = m_host.NewTcpAddress(m_loop);
+    m_settings.ready_address = m_host.NewTcpAddress(m_loop);
     m_settings.store_address = m_platform.Address();
     m_settings.stop_grace = std::chrono::seconds(4);
     m_settings.revoke_limit = std::chrono::milliseconds(2500);
@@ -163,6 +163,7 @@
 
  private:
   asio::io_context m_loop;
+  emulator::LoopbackHost m_host;
   net::BootClock m_clock;
   int m_log_descriptor = open("/dev/null", O_WRONLY | O_CLOEXEC);
   PlatformEmulator m_platform;
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -23,6 +23,7 @@
 /// store.
 struct GossipFixture {
   asio::io_context loop;
+  emulator::LoopbackHost loopback;
   emulator::PlatformEmulator platform{loop};
   net::BootClock clock;
   net::HttpClient http{loop};
@@ -81,8 +82,8 @@
 // daemon that restarted after its clock was set back.
 TEST(PeerGossip, DaemonsExchangeGossipAfterAClockWasSetBack) {
   GossipFixture fixture;
-  const std::string address = emulator::FreeUdpAddress(fixture.loop);
-  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  const std::string address = fixture.loopback.NewUdpAddress(fixture.loop);
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   auto right = std::make_unique<Node>(fixture, "right", address, 1000);
   CHECK(fixture.RunUntil([&] {
     return left.gossip.LivePeerCount() == 1 &&
