Order weights without the wait for late orders of earlier holders

What callers saw: requests began on an older weight version long after a newer one was published (VERSION).

Cause: the lease reducer holds the orders of each new holder, also of the very first one, for the longest order delay (5 s) if the engine does not check the token, since a late order of an earlier holder may still arrive. The engines of the platform compare the number of orders that an order carries with their own count. The daemon used this only after it had received a report, which it asked for after it had sent the order.

Fix: upstreams that compare the number are a kind of their own. An order to one is sent as soon as a report since the decision has told the number, and always carries it. A late order of an earlier holder either arrives first, and the newer one is rejected and repeated, or is itself rejected. Upstreams that compare neither token nor number are ordered as before. The engine is queried when the load is decided.

The test failed before (sources of the reducer before this change):

lease_session_test.cc: error: Failure in TEST(LeaseSession, OrderCountReplacesTheWaitForEarlierOrders) did not contain <> order counting: load m2 fence none count 7>

The simulation of the property test has a third upstream that compares the number. When it is made to ignore the number, the longer run fails with "an order of a former holder arrived after one of its successor".

--- a/packages/core/include/jasminehatch/detail/lease/effect.h
+++ b/packages/core/include/jasminehatch/detail/lease/effect.h
@@ -34,6 +34,9 @@
   std::optional<std::uint64_t>
       fence;  ///< Fencing token; empty for upstreams that do not check it.
   MonotonicTime not_after{};
+  /// Number of orders that the upstream must have accepted before this one;
+  /// empty for upstreams that do not check it.
+  std::optional<std::uint64_t> orders_accepted;
 };
 
 /// Reports that this process became the holder of a group's lease, or no longer
--- a/packages/core/include/jasminehatch/detail/lease/event.h
+++ b/packages/core/include/jasminehatch/detail/lease/event.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_LEASE_EVENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -17,6 +18,9 @@
   std::string group;
   std::string upstream;
   bool checks_fencing = false;  ///< Rejects orders with an old fencing token.
+  /// Rejects orders whose number of earlier orders differs from its own count,
+  /// so that a late order of an earlier holder cannot follow a newer one.
+  bool checks_order_count = false;
 };
 
 /// The configuration or a rollout set the desired state of an upstream.
@@ -31,6 +35,9 @@
   std::string group;
   std::string upstream;
   UpstreamState reported;
+  /// Number of orders that the upstream has accepted; empty if the state comes
+  /// from a source without it, such as a registry.
+  std::optional<std::uint64_t> orders_accepted;
 };
 
 /// An append failed or its outcome is unknown. A successful append is confirmed
--- a/packages/core/include/jasminehatch/detail/lease/state.h
+++ b/packages/core/include/jasminehatch/detail/lease/state.h
@@ -16,9 +16,12 @@
 /// @brief What the holder knows of one upstream.
 struct Upstream {
   bool checks_fencing = false;
+  bool checks_order_count = false;
   std::optional<UpstreamState> desired;
   std::optional<UpstreamState> reported;
   MonotonicTime reported_at{};
+  /// From a report since the desired state was set.
+  std::optional<std::uint64_t> orders_accepted;
   std::optional<MonotonicTime> ordered_at;
 };
 
--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -13,10 +13,7 @@
  public:
   Reducer(State& state, MonotonicTime now) : m_state(state), m_now(now) {}
 
-  void Apply(const UpstreamConfigured& event) {
-    m_state.groups[event.group].upstreams[event.upstream].checks_fencing =
-        event.checks_fencing;
-  }
+  void Apply(const UpstreamConfigured& event);
   void Apply(const DesiredChanged& event);
   void Apply(const StateReported& event);
   void Apply(const AppendFailed& event);
@@ -48,11 +45,18 @@
   Effects m_effects;
 };
 
+void Reducer::Apply(const UpstreamConfigured& event) {
+  Upstream& upstream = m_state.groups[event.group].upstreams[event.upstream];
+  upstream.checks_fencing = event.checks_fencing;
+  upstream.checks_order_count = event.checks_order_count;
+}
+
 void Reducer::Apply(const DesiredChanged& event) {
   Upstream& upstream = m_state.groups[event.group].upstreams[event.upstream];
   if (upstream.desired != event.desired) {
     upstream.desired = event.desired;
     upstream.ordered_at.reset();
+    upstream.orders_accepted.reset();
   }
 }
 
@@ -60,6 +64,9 @@
   Upstream& upstream = m_state.groups[event.group].upstreams[event.upstream];
   upstream.reported = event.reported;
   upstream.reported_at = m_now;
+  if (event.orders_accepted) {
+    upstream.orders_accepted = event.orders_accepted;
+  }
 }
 
 void Reducer::Apply(const AppendFailed& event) {
@@ -166,9 +173,13 @@
         *upstream.desired == *upstream.reported) {
       continue;
     }
-    // Orders of an earlier holder may still change an upstream that does not
-    // check the fencing token, so an earlier report is not reliable.
-    if (!upstream.checks_fencing &&
+    if (upstream.checks_order_count && !upstream.orders_accepted) {
+      continue;
+    }
+    // Orders of an earlier holder may still change an upstream that checks
+    // neither the fencing token nor the number of orders, so an earlier report
+    // is not reliable.
+    if (!upstream.checks_fencing && !upstream.checks_order_count &&
         upstream.reported_at < group.earlier_orders_until) {
       if (m_now < group.earlier_orders_until) {
         ScheduleTimer(group.earlier_orders_until);
@@ -197,12 +208,16 @@
                            const Group& group,
                            const std::string& upstream_name,
                            Upstream& upstream) {
+  std::uint64_t order_count = upstream.orders_accepted.value_or(0);
   const auto order = [&](OrderKind kind, const std::string& value) {
-    SendOrder effect{name,  upstream_name, kind,
-                     value, std::nullopt,  group.held_until};
+    SendOrder effect{name,         upstream_name,    kind,        value,
+                     std::nullopt, group.held_until, std::nullopt};
     if (upstream.checks_fencing) {
       effect.fence = group.offset;
     }
+    if (upstream.checks_order_count) {
+      effect.orders_accepted = order_count++;
+    }
     m_effects.emplace_back(std::move(effect));
   };
   const UpstreamState& desired = *upstream.desired;
--- a/packages/core/tests/lease_property_test.cc
+++ b/packages/core/tests/lease_property_test.cc
@@ -29,7 +29,7 @@
 /// Much longer than a lease, so that orders of former holders are often in
 /// flight when the next holder starts.
 constexpr Duration kLongestOrderDelay = 30s;
-const std::array<std::string, 2> kUpstreams{"checked", "unchecked"};
+const std::array<std::string, 3> kUpstreams{"checked", "unchecked", "counting"};
 
 /// One action: its kind and an operand, which is reduced to the valid range
 /// where it is used.
@@ -106,8 +106,7 @@
       case Action::kArrive:
         return Arrive(action.operand);
       case Action::kReport:
-        Report(process, 0);
-        return Report(process, 1);
+        return ReportAll(process);
       case Action::kDesire:
         m_desired = {"model-" + std::to_string(action.operand % 3U),
                      "assistant", action.operand % 5U == 0};
@@ -147,8 +146,7 @@
       }
       for (std::size_t i = 0; i < kProcesses; ++i) {
         Read(i);
-        Report(i, 0);
-        Report(i, 1);
+        ReportAll(i);
       }
     }
     for (std::size_t i = 0; i < kUpstreams.size(); ++i) {
@@ -171,6 +169,8 @@
   struct FakeUpstream {
     UpstreamState state;
     std::uint64_t fence = 0;  ///< Highest token of the orders that arrived.
+    std::uint64_t orders_accepted = 0;
+    std::uint64_t last_sender = 0;  ///< Process start that sent the last order.
   };
 
   void Fail(const std::string& what) {
@@ -190,6 +190,8 @@
     started.state.self = {"entry-" + std::to_string(process + 1), m_starts};
     Step(process, lease::UpstreamConfigured{"group", kUpstreams[0], true});
     Step(process, lease::UpstreamConfigured{"group", kUpstreams[1], false});
+    Step(process,
+         lease::UpstreamConfigured{"group", kUpstreams[2], false, true});
     SendDesired(process);
   }
 
@@ -222,9 +224,12 @@
     Step(process, event);
   }
 
-  void Report(std::size_t process, std::size_t upstream) {
-    Step(process, lease::StateReported{"group", kUpstreams[upstream],
-                                       m_upstreams[upstream].state});
+  void ReportAll(std::size_t process) {
+    for (std::size_t i = 0; i < kUpstreams.size(); ++i) {
+      Step(process,
+           lease::StateReported{"group", kUpstreams[i], m_upstreams[i].state,
+                                m_upstreams[i].orders_accepted});
+    }
   }
 
   void Step(std::size_t process, const lease::Event& event) {
@@ -293,24 +298,32 @@
   }
 
   void Arrive(const Message& message, const lease::SendOrder& order) {
-    FakeUpstream& upstream =
-        m_upstreams[order.upstream == kUpstreams[0] ? 0 : 1];
+    FakeUpstream& upstream = m_upstreams.at(static_cast<std::size_t>(
+        std::find(kUpstreams.begin(), kUpstreams.end(), order.upstream) -
+        kUpstreams.begin()));
     if (order.fence.has_value() != (order.upstream == kUpstreams[0])) {
       Fail("only an upstream that checks fencing gets the token");
     }
+    if (order.orders_accepted.has_value() !=
+        (order.upstream == kUpstreams[2])) {
+      Fail("exactly the upstream that checks the number of orders gets it");
+    }
+    if (order.orders_accepted &&
+        *order.orders_accepted != upstream.orders_accepted) {
+      return;
+    }
     const bool stale = message.fence < upstream.fence;
     if (stale && order.fence) {
       return;
     }
     // Each renewal has a new token, so a holder's own orders may arrive out of
     // order.
-    if (stale && m_last_sender != message.start) {
+    if (stale && upstream.last_sender != message.start) {
       Fail("an order of a former holder arrived after one of its successor");
     }
     upstream.fence = std::max(upstream.fence, message.fence);
-    if (!order.fence) {
-      m_last_sender = message.start;
-    }
+    upstream.last_sender = message.start;
+    ++upstream.orders_accepted;
     ++m_orders;
     switch (order.kind) {
       case lease::OrderKind::kLoad:
@@ -332,7 +345,7 @@
   }
 
   std::array<Process, kProcesses> m_processes;
-  std::array<FakeUpstream, 2> m_upstreams;
+  std::array<FakeUpstream, 3> m_upstreams;
   std::vector<Message> m_messages;
   std::vector<Message> m_in_flight;  ///< Orders in flight.
   std::vector<lease::LeaseRecord> m_log;
@@ -341,7 +354,6 @@
   MonotonicTime m_now{};
   std::uint64_t m_starts = 0;
   std::uint64_t m_newest_order = 0;
-  std::uint64_t m_last_sender = 0;
   std::uint64_t m_orders = 0;
   bool m_log_outage = false;
 };
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -33,7 +33,10 @@
     return "order " + effect.upstream + ": " +
            kKinds.at(static_cast<std::size_t>(effect.kind)) + " " +
            effect.value + " fence " +
-           (effect.fence ? std::to_string(*effect.fence) : "none");
+           (effect.fence ? std::to_string(*effect.fence) : "none") +
+           (effect.orders_accepted
+                ? " count " + std::to_string(*effect.orders_accepted)
+                : "");
   }
   std::string operator()(const lease::HolderChanged& effect) const {
     return effect.holds ? "holds the lease" : "does not hold the lease";
@@ -130,3 +133,23 @@
   STRCMP_CONTAINS("reads to record 1\n    > append: holder entry-1 base 1\n",
                   m_trace.c_str());
 }
+
+// Guards against a new holder that orders nothing for the longest order delay
+// although the upstream would reject late orders of an earlier holder, and
+// against an order without the number by which it rejects them.
+TEST(LeaseSession, OrderCountReplacesTheWaitForEarlierOrders) {
+  m_states["entry-1"].self = {"entry-1", 1};
+  Send("entry-1", "starts",
+       lease::UpstreamConfigured{"group", "counting", false, true});
+  Send("entry-1", "counting is to load m2",
+       lease::DesiredChanged{"group", "counting", {"m2", "", false}});
+  Read("entry-1");
+  Read("entry-1");
+  Report("entry-1", "counting");
+  CHECK(m_trace.find("order counting") == std::string::npos);
+  m_now += 10ms;
+  Send("entry-1", "counting reports m1 and 7 orders",
+       lease::StateReported{"group", "counting", {"m1", "", false}, 7});
+  STRCMP_CONTAINS("> order counting: load m2 fence none count 7\n",
+                  m_trace.c_str());
+}
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -96,7 +96,6 @@
 
   /// The last report of an upstream.
   struct Report {
-    std::uint64_t orders_accepted = 0;
     bool busy = false;
     MonotonicTime queried_at{};
     bool query_pending = false;
@@ -109,6 +108,7 @@
   void Deactivate();
   void ApplyTargets();
   void QueryEngines();
+  void QueryEngine(const std::string& key, const Target& target);
   void OnReport(const std::string& key,
                 const std::optional<platform::EngineReport>& report);
   void ReadLease();
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -54,6 +54,10 @@
 /// An engine that has not loaded the weights by then gets another order.
 constexpr milliseconds kLoadTimeout{5000};
 
+/// Engines compare the number of orders that an order carries with their own
+/// count, whether they check the fencing token or not.
+constexpr bool kEnginesCheckOrderCount = true;
+
 /// One in `kEnginesPerLoad` engines, but at least `kMinConcurrentLoads`, may
 /// load at the same time, since concurrent loads slow each other down.
 constexpr std::size_t kMinConcurrentLoads = 2;
@@ -281,14 +285,19 @@
         (report.received && now - report.queried_at < kQueryInterval)) {
       continue;
     }
-    report.query_pending = true;
-    report.queried_at = now;
-    m_engines.Query(
-        target->second.upstream, target->second.address,
-        [this, key = key](const auto& response) { OnReport(key, response); });
+    QueryEngine(key, target->second);
   }
 }
 
+void WeightsRollout::QueryEngine(const std::string& key, const Target& target) {
+  Report& report = m_reports[key];
+  report.query_pending = true;
+  report.queried_at = m_clock.Now();
+  m_engines.Query(
+      target.upstream, target.address,
+      [this, key](const auto& response) { OnReport(key, response); });
+}
+
 void WeightsRollout::OnReport(
     const std::string& key,
     const std::optional<platform::EngineReport>& response) {
@@ -300,7 +309,6 @@
   }
   report.received = true;
   report.busy = response->busy;
-  report.orders_accepted = response->orders_accepted;
   const auto weights = response->weights.find(target->second.model);
   if (weights == response->weights.end()) {
     return;
@@ -310,7 +318,8 @@
   Update();
   if (m_active && m_lease.groups.contains(kLeaseGroup)) {
     StepLease(lease::StateReported{kLeaseGroup, key,
-                                   MakeLeaseState(weights->second)});
+                                   MakeLeaseState(weights->second),
+                                   response->orders_accepted});
   }
 }
 
@@ -407,11 +416,17 @@
     return;
   }
   StepLease(lease::UpstreamConfigured{kLeaseGroup, effect.upstream,
-                                      m_options.upstreams_check_fences});
+                                      m_options.upstreams_check_fences,
+                                      kEnginesCheckOrderCount});
   StepLease(lease::StateReported{kLeaseGroup, effect.upstream,
-                                 MakeLeaseState(target->second.current)});
+                                 MakeLeaseState(target->second.current),
+                                 std::nullopt});
   StepLease(lease::DesiredChanged{kLeaseGroup, effect.upstream,
                                   MakeLeaseState(target->second.wanted)});
+  // The order carries the number of orders from the engine's own report.
+  if (!m_reports[effect.upstream].query_pending) {
+    QueryEngine(effect.upstream, target->second);
+  }
 }
 
 void WeightsRollout::Execute(const rollout::ReportPaused& effect) {
@@ -437,10 +452,7 @@
   order.holder = m_options.daemon;
   // Upstreams that do not check the fencing token still require one.
   order.fence = m_lease.groups.at(kLeaseGroup).offset;
-  const auto report = m_reports.find(effect.upstream);
-  if (report != m_reports.end() && report->second.received) {
-    order.orders_accepted = report->second.orders_accepted;
-  }
+  order.orders_accepted = effect.orders_accepted;
   const std::array fields{DecisionLogField{"upstream", order.upstream},
                           DecisionLogField{"version", effect.value}};
   m_log.Write(DecisionLog::Level::kState, "weights_ordered", fields);
