Apply the limit of each published weight version by itself

At 22.02 s it read version 4 and sent to an upstream with version 2 in the same tick, 8 s after version 3 was acknowledged.

Cause: the choice of an upstream asked only the newest published version whether its time of publication is known. As soon as a newer version was published, the one found at the start counted from the daemon's own start.

Now the minimum version is decided for each version: one whose time of publication is not known is required as soon as an upstream of the service has it, whatever was published after it. Likewise, the version that is favoured is the newest one past its soft limit, no longer the newest one alone.

The test on the old code: forwarding_step_test.cc:295: error: Failure in TEST(ForwardingStep, ANewerVersionDoesNotWithdrawOneFoundAtStartup) expected <e2> but was <e1>

--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -26,8 +26,8 @@
   /// @brief A weight version published for a model.
   struct PublishedWeights {
     std::uint64_t version = 0;
-    MonotonicTime observed_at{};  ///< When this daemon learned of it.
-    /// If false, it may have been published long before `observed_at`.
+    MonotonicTime published_by{};  ///< Latest possible time of publication.
+    /// If false, it may have been published long before `published_by`.
     bool publish_time_known = true;
   };
 
@@ -72,11 +72,19 @@
   /// them.
   bool IsSaltOutdated(std::string_view salt) const;
 
-  /// @return the minimum version for new attempts: the newest one that this
-  /// daemon observed at least `min_age` ago, or 0
+  /// @return the minimum version for new attempts at the service: the newest
+  /// one whose time limit has passed, or may have passed if its time of
+  /// publication is not known; 0 if there is none
   std::uint64_t MinVersion(const std::string& model,
+                           const std::string& service,
                            MonotonicTime now,
-                           Duration min_age) const;
+                           const Options& options) const;
+
+  /// @return the newest version that was published at least
+  /// `Options::version_soft_limit` ago, or 0
+  std::uint64_t FavoredVersion(const std::string& model,
+                               MonotonicTime now,
+                               const Options& options) const;
 
   /// @return the versions published for each model, oldest first
   const std::map<std::string, std::vector<PublishedWeights>>& AllPublished()
@@ -91,6 +99,11 @@
  private:
   void Erase(const std::string& id);
 
+  /// @return the newest weights of the model at an upstream of the service, or
+  /// 0
+  std::uint64_t NewestInUse(const std::string& model,
+                            const std::string& service) const;
+
   std::map<std::string, std::unique_ptr<Upstream>> m_upstreams;
   std::unordered_map<std::string, std::vector<Upstream*>> m_by_service;
   std::map<std::string, std::vector<PublishedWeights>> m_published;
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -26,42 +26,16 @@
   std::uint64_t favored_version = 0;  ///< Older versions get a load penalty.
 };
 
-bool AnyUpstreamHasAtLeast(const State& state,
-                           const Request& request,
-                           std::uint64_t version) {
-  const std::string& model = request.arrival.prompt->model;
-  const auto upstreams = state.upstreams.OfService(request.service);
-  return std::any_of(upstreams.begin(), upstreams.end(),
-                     [&](const Upstream* upstream) {
-                       return upstream->WeightVersion(model) >= version;
-                     });
-}
-
 VersionLimits LimitsFor(const State& state,
                         const Request& request,
                         MonotonicTime now) {
-  VersionLimits limits;
   if (!request.arrival.prompt) {
-    return limits;
+    return {};
   }
   const std::string& model = request.arrival.prompt->model;
-  const Options& options = state.options;
-  limits.min_version =
-      state.upstreams.MinVersion(model, now, options.version_hard_limit);
-  const auto newest = state.upstreams.NewestPublished(model);
-  if (!newest) {
-    return limits;
-  }
-  if (!newest->publish_time_known &&
-      AnyUpstreamHasAtLeast(state, request, newest->version)) {
-    // The version may have been published long before this daemon started. It
-    // is required at once, as after `version_hard_limit`.
-    limits.min_version = newest->version;
-  }
-  if (now - newest->observed_at >= options.version_soft_limit) {
-    limits.favored_version = newest->version;
-  }
-  return limits;
+  const UpstreamDirectory& upstreams = state.upstreams;
+  return {upstreams.MinVersion(model, request.service, now, state.options),
+          upstreams.FavoredVersion(model, now, state.options)};
 }
 
 /// Makes one choice of an upstream.
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <ranges>
 #include <set>
 
 namespace jasminehatch::forwarding {
@@ -165,20 +166,55 @@
                                     : std::optional(found->second.back());
 }
 
+std::uint64_t UpstreamDirectory::NewestInUse(const std::string& model,
+                                             const std::string& service) const {
+  std::uint64_t newest = 0;
+  for (const Upstream* upstream : OfService(service)) {
+    newest = std::max(newest, upstream->WeightVersion(model));
+  }
+  return newest;
+}
+
 std::uint64_t UpstreamDirectory::MinVersion(const std::string& model,
+                                            const std::string& service,
                                             MonotonicTime now,
-                                            Duration min_age) const {
-  std::uint64_t min_version = 0;
+                                            const Options& options) const {
+  const auto found = m_published.find(model);
+  if (found == m_published.end()) {
+    return 0;
+  }
+  std::optional<std::uint64_t> newest_in_use;
+  for (const PublishedWeights& published : std::views::reverse(found->second)) {
+    if (now - published.published_by >= options.version_hard_limit) {
+      return published.version;
+    }
+    if (published.publish_time_known) {
+      continue;
+    }
+    // Its limit may have passed before this daemon started.
+    if (!newest_in_use) {
+      newest_in_use = NewestInUse(model, service);
+    }
+    if (published.version <= *newest_in_use) {
+      return published.version;
+    }
+  }
+  return 0;
+}
+
+std::uint64_t UpstreamDirectory::FavoredVersion(const std::string& model,
+                                                MonotonicTime now,
+                                                const Options& options) const {
   const auto found = m_published.find(model);
   if (found == m_published.end()) {
-    return min_version;
+    return 0;
   }
-  for (const PublishedWeights& published : found->second) {
-    if (now - published.observed_at >= min_age) {
-      min_version = published.version;
+  for (const PublishedWeights& published : std::views::reverse(found->second)) {
+    if (now - published.published_by >= options.version_soft_limit) {
+      return published.version;
     }
   }
-  return min_version;
+  return 0;
 }
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -283,6 +283,20 @@
   }
 }
 
+// Guards against requests on old weights after a restart: a version published
+// later withdrew the limit of the one that the daemon had found when it
+// started.
+TEST(ForwardingStep, ANewerVersionDoesNotWithdrawOneFoundAtStartup) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e1", "engine", 1);
+  fixture.AddUpstream("e2", "engine", 2);
+  fixture.Apply(WeightsPublished{"m", 2, false});
+  fixture.Apply(WeightsPublished{"m", 3, true});
+  for (int i = 0; i < 5; ++i) {
+    STRCMP_EQUAL("e2", OnlyStart(fixture.Send("/prompt/")).upstream.c_str());
+  }
+}
+
 // Guards against sending the same weight version again to an upstream that
 // rejected it.
 TEST(ForwardingStep, UpdatesTheWeightVersionAfterARejection) {
