Keep the limit of a weight version when many follow it

Cause: the directory keeps 16 versions of each model and dropped the oldest with its time of publication. The version after it counted from its own publication.

Now the version after the dropped one takes over its time. This can require a version too early, never too late, and only in such a series.

The test on the old code: forwarding_step_test.cc:302: error: Failure in TEST(ForwardingStep, ManyVersionsDoNotWithdrawTheOldest) expected <1 (0x1)> but was <0 (0x0)>

--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -6,6 +6,27 @@
 #include <set>
 
 namespace jasminehatch::forwarding {
+namespace {
+
+/// Maximum number of versions that are kept of each model. Each one becomes
+/// mandatory some time after its own publication, so the last one alone would
+/// not do.
+constexpr std::size_t kMaxVersions = 16;
+
+/// Drops the oldest version if there are too many. The next one becomes
+/// mandatory in its place, since no version in between is known any more.
+void DropOldest(std::vector<UpstreamDirectory::PublishedWeights>& versions) {
+  if (versions.size() <= kMaxVersions) {
+    return;
+  }
+  const auto dropped = versions.front();
+  versions.erase(versions.begin());
+  versions.front().published_by = dropped.published_by;
+  versions.front().publish_time_known =
+      versions.front().publish_time_known && dropped.publish_time_known;
+}
+
+}  // namespace
 
 std::string SaltPrefix(const std::string& model, std::uint64_t version) {
   return model + "/" + std::to_string(version) + "/";
@@ -78,12 +99,7 @@
   if (versions.empty() || published.version > versions.back().version) {
     versions.push_back({published.version, now, published.publish_time_known});
   }
-  // Each version becomes mandatory some time after its own publication, so the
-  // newest `kMaxVersions` are kept and not only the last one.
-  constexpr std::size_t kMaxVersions = 16;
-  if (versions.size() > kMaxVersions) {
-    versions.erase(versions.begin());
-  }
+  DropOldest(versions);
 }
 
 void UpstreamDirectory::OnWeightsObserved(const WeightsObserved& observed) {
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -297,6 +297,23 @@
   }
 }
 
+// Guards against requests on old weights after more versions were published
+// within the limit than a daemon keeps.
+TEST(ForwardingStep, ManyVersionsDoNotWithdrawTheOldest) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e1", "engine", 1);
+  for (std::uint64_t version = 2; version <= 40; ++version) {
+    fixture.Apply(WeightsPublished{"m", version});
+    fixture.Wait(10ms);
+  }
+  OnlyStart(fixture.Send("/prompt/"));
+  fixture.Wait(fixture.CurrentState().options.version_hard_limit - 390ms);
+  fixture.Confirm();
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/prompt/"))));
+  fixture.AddUpstream("e2", "engine", 40);
+  STRCMP_EQUAL("e2", OnlyStart(fixture.Send("/prompt/")).upstream.c_str());
+}
+
 // Guards against sending the same weight version again to an upstream that
 // rejected it.
 TEST(ForwardingStep, UpdatesTheWeightVersionAfterARejection) {
