Require a weight version found at the start before the contact limit

While no upstream is known to have the newest version, a restarted daemon has no lower limit until the whole limit of old weights has passed since its own start, whereas the users' rules hold it to the limit from `contactMs` after the start.

Cause: the age of a version starts at the daemon that finds it and not at its publication.

A version that was found at the start may be of any age.

--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -46,6 +46,9 @@
   /// Maximum time after the publication of a weight version for which requests
   /// may still start on older weights.
   std::chrono::milliseconds version_limit{6000};
+  /// Time after its start from which a daemon keeps all time limits, also those
+  /// of events before the start.
+  std::chrono::milliseconds contact_limit{3000};
   /// Minimum time between orders from two different daemons; an order tells a
   /// model engine to load a weight version.
   std::chrono::milliseconds lease_time{3000};
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -113,6 +113,14 @@
         false, "6s",
         "maximum time after the publication of a weight version for which "
         "requests may still start on older weights"},
+    ForwarderField{
+        "contact_limit",
+        [](const FieldReader& r, ForwarderSettings& s) {
+          s.contact_limit = r.Duration(milliseconds(500), minutes(10));
+        },
+        false, "3s",
+        "time after its start from which a daemon keeps all time limits, also "
+        "those of events before the start"},
     ForwarderField{"lease_time",
                    [](const FieldReader& r, ForwarderSettings& s) {
                      s.lease_time = r.Duration(milliseconds(500), minutes(10));
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -47,6 +47,9 @@
   /// Age of a published weight version from which only upstreams that have it
   /// are used.
   Duration version_hard_limit = std::chrono::milliseconds(5000);
+  /// The same for a weight version that this daemon found when it started, from
+  /// then on, since its age is not known.
+  Duration found_version_limit = std::chrono::milliseconds(2250);
 
   /// Retry delay sent with refusals; up to the same time is added at random, so
   /// that callers do not return simultaneously.
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -201,12 +201,16 @@
   }
   std::optional<std::uint64_t> newest_in_use;
   for (const PublishedWeights& published : std::views::reverse(found->second)) {
-    if (now - published.published_by >= options.version_hard_limit) {
+    const Duration age = now - published.published_by;
+    if (age >= options.version_hard_limit) {
       return published.version;
     }
     if (published.publish_time_known) {
       continue;
     }
+    if (age >= options.found_version_limit) {
+      return published.version;
+    }
     // Its limit may have passed before this daemon started.
     if (!newest_in_use) {
       newest_in_use = NewestInUse(model, service);
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -314,6 +314,23 @@
   STRCMP_EQUAL("e2", OnlyStart(fixture.Send("/prompt/")).upstream.c_str());
 }
 
+// Guards against requests on old weights at a restarted daemon while no
+// upstream has the published ones, whose limit may have passed long ago.
+TEST(ForwardingStep, AVersionFoundAtStartupIsRequiredSoonWithoutUpstream) {
+  ForwardingFixture fixture;
+  const auto limit = fixture.CurrentState().options.found_version_limit;
+  CHECK(limit < fixture.CurrentState().options.version_hard_limit);
+  fixture.AddUpstream("e1", "engine", 1);
+  fixture.Apply(WeightsPublished{"m", 2, false});
+  fixture.Wait(limit - 1ms);
+  fixture.Confirm();
+  OnlyStart(fixture.Send("/prompt/"));
+  fixture.Wait(1ms);
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/prompt/"))));
+  fixture.AddUpstream("e2", "engine", 2);
+  STRCMP_EQUAL("e2", OnlyStart(fixture.Send("/prompt/")).upstream.c_str());
+}
+
 // Guards against sending the same weight version again to an upstream that
 // rejected it.
 TEST(ForwardingStep, UpdatesTheWeightVersionAfterARejection) {
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -99,6 +99,11 @@
 /// request may start on older weights.
 constexpr double kVersionLimitFraction = 0.85;
 
+/// Fraction of `contact_limit` for which a weight version that was found at the
+/// start, and that no upstream has, is not required. The rest covers the first
+/// read of the records and a retry of it.
+constexpr double kContactLimitFraction = 0.75;
+
 /// Time without progress after which followers join a rollout, as a fraction of
 /// `version_limit`. They join within as much time again.
 constexpr double kStandbyPatienceFraction = 0.35;
@@ -129,6 +134,8 @@
   options.max_proof_age = scale(settings.revoke_limit, kProofLimitFraction);
   options.version_hard_limit =
       scale(settings.version_limit, kVersionLimitFraction);
+  options.found_version_limit =
+      scale(settings.contact_limit, kContactLimitFraction);
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.retry_window = settings.retry_window;
