Tell a starting daemon when weights were published

Cause: nothing carries the time of a publication to a daemon that starts later, and a daemon closed its gossip socket as soon as it was asked to stop, up to the stop grace period before its end.

Gossip now carries the ages of published versions: to a peer for two seconds after its start, and to all until the newest version of the model has twice the age of the limit, for daemons that were suspended or cut off. A message holds all versions of a model that still matter, since a younger version alone would hide the limit of the one before it. An age that is received can only make a version older. In a calm fleet the messages grow by two bytes. A stopping daemon goes on exchanging messages until its process ends. They say that it is stopping, so that it is no reader of a zone and does not count as live; its incarnation is still protected against older messages.

The tests on a daemon that is silent after the stop request and sends no ages (peer_gossip.cc with these two parts put back): peer_gossip_test.cc:170: error: Failure in TEST(PeerGossip, AStoppingDaemonIsNotLive) peer_gossip_test.cc:151: error: Failure in TEST(PeerGossip, AStoppingDaemonStillTellsPublicationAges) peer_gossip_test.cc:139: error: Failure in TEST(PeerGossip, YoungPublicationAgesAreRepeated) peer_gossip_test.cc:125: error: Failure in TEST(PeerGossip, AStartingDaemonLearnsOldPublicationAges) The tests of the core need the new event and do not compile on the old code.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -9,6 +9,7 @@
 
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
+#include "jasminehatch/detail/forwarding/publication_age.h"
 
 namespace jasminehatch::codec {
 
@@ -47,6 +48,9 @@
   bool covers_zone = false;  ///< `loads` are sums over all daemons of `zone`.
   std::vector<WeightsUpdate> weights_updates;
   std::vector<forwarding::CrashReport> crash_reports;
+  bool stopping = false;  ///< The sender was asked to stop.
+  /// Ages of published weight versions when the message was sent.
+  std::vector<forwarding::PublicationAge> publications;
 
   /// @return the message as MessagePack
   std::string Encode() const;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -1,5 +1,7 @@
 #include "jasminehatch/detail/json/gossip_message.h"
 
+#include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
 #include "jasminehatch/detail/base/exception.h"
@@ -19,8 +21,10 @@
           ReadInteger<std::uint64_t>(entry.at(2))};
 }
 
-/// Later daemons append the capacity, which earlier ones ignore.
+/// Later daemons append these fields, which earlier ones ignore.
 constexpr std::size_t kCapacityIndex = 14;
+constexpr std::size_t kStoppingIndex = 15;
+constexpr std::size_t kPublicationsIndex = 16;
 
 double DecodeCapacity(const json& value) {
   const double capacity = value.is_number() ? value.get<double>() : 0;
@@ -36,6 +40,19 @@
           ReadInteger<std::uint64_t>(entry.at(2)), entry.at(3).get<bool>()};
 }
 
+std::int64_t AgeInMilliseconds(Duration age) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+             std::max(age, Duration::zero()))
+      .count();
+}
+
+forwarding::PublicationAge DecodePublication(const json& entry) {
+  return {entry.at(0).get<std::string>(),
+          ReadInteger<std::uint64_t>(entry.at(1)),
+          std::chrono::milliseconds(ReadMilliseconds(entry.at(2))),
+          entry.at(3).get<bool>()};
+}
+
 }  // namespace
 
 std::string GossipMessage::Encode() const {
@@ -54,13 +71,20 @@
     encoded_crashes.push_back(
         json::array({report.fingerprint, report.upstream}));
   }
+  json encoded_publications = json::array();
+  for (const forwarding::PublicationAge& publication : publications) {
+    encoded_publications.push_back(json::array(
+        {publication.model, publication.version,
+         AgeInMilliseconds(publication.age), publication.publish_time_known}));
+  }
   const json message = json::array(
       {kFormatVersion, daemon, address, zone, incarnation, sequence,
        std::move(encoded_loads), std::move(encoded_updates), sent_ms, echo_ms,
        operator_end_offset,
        freshness_proof_age_ms ? json(*freshness_proof_age_ms) : json(),
        std::move(encoded_crashes), covers_zone,
-       capacity ? json(*capacity) : json()});
+       capacity ? json(*capacity) : json(), stopping,
+       std::move(encoded_publications)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -100,6 +124,14 @@
         !message.at(kCapacityIndex).is_null()) {
       decoded.capacity = DecodeCapacity(message.at(kCapacityIndex));
     }
+    if (message.size() > kStoppingIndex) {
+      decoded.stopping = message.at(kStoppingIndex).get<bool>();
+    }
+    if (message.size() > kPublicationsIndex) {
+      for (const json& entry : message.at(kPublicationsIndex)) {
+        decoded.publications.push_back(DecodePublication(entry));
+      }
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -38,6 +38,7 @@
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
   message.crash_reports = {{15, 16}};
+  message.publications = {{"m", 17, std::chrono::milliseconds(18), true}};
   return message;
 }
 
@@ -101,6 +102,9 @@
   message.weights_updates = {{"u", "m", 14, true}};
   message.crash_reports = {{15, 16}};
   message.covers_zone = true;
+  message.stopping = true;
+  message.publications = {{"m", 17, std::chrono::milliseconds(18), true},
+                          {"n", 19, std::chrono::milliseconds(20), false}};
   const auto decoded = GossipMessage::Decode(message.Encode());
   STRCMP_EQUAL("e1", decoded.daemon.c_str());
   STRCMP_EQUAL("10.0.0.1:7700", decoded.address.c_str());
@@ -116,6 +120,8 @@
   CHECK(decoded.weights_updates.at(0).loading);
   CHECK(decoded.covers_zone);
   CHECK(decoded.crash_reports.at(0) == (forwarding::CrashReport{15, 16}));
+  CHECK(decoded.stopping);
+  CHECK(decoded.publications == message.publications);
   message.freshness_proof_age_ms.reset();
   CHECK_FALSE(GossipMessage::Decode(message.Encode()).freshness_proof_age_ms);
 }
@@ -141,7 +147,7 @@
        {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
         nlohmann::json("1")}) {
     const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(13, variants.size());
+    UNSIGNED_LONGS_EQUAL(15, variants.size());
     for (const nlohmann::json& variant : variants) {
       std::string encoded;
       nlohmann::json::to_msgpack(variant, encoded);
@@ -165,6 +171,12 @@
     message.*field += 1;
     CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
   }
+  GossipMessage message = CompleteMessage();
+  message.publications.front().age =
+      std::chrono::milliseconds(kMaxMilliseconds);
+  GossipMessage::Decode(message.Encode());
+  message.publications.front().age += std::chrono::milliseconds(1);
+  CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
 }
 
 // Guards against a relay message that loses a field in encoding or decoding.
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -15,6 +15,7 @@
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/publication_age.h"
 
 namespace jasminehatch::forwarding {
 
@@ -74,6 +75,12 @@
   bool publish_time_known = true;
 };
 
+/// A peer reported the age of a published weight version. The report may have
+/// been delayed, so the version is at least that old.
+struct PublicationAgeReceived {
+  PublicationAge publication;
+};
+
 /// @brief One part of a prompt.
 struct PromptPart {
   std::string id;
@@ -184,6 +191,7 @@
                            UpstreamsListed,
                            RegistryRecovered,
                            WeightsPublished,
+                           PublicationAgeReceived,
                            OptionsChanged,
                            RequestReceived,
                            CallerDisconnected,
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -46,6 +46,10 @@
 
   void OnWeightsPublished(const WeightsPublished& published, MonotonicTime now);
 
+  /// Applies what a peer knows of the age of a version. Ignored if the version
+  /// is newer than all that this daemon has read.
+  void OnPublicationAge(const PublicationAge& publication, MonotonicTime now);
+
   /// Records the weights that an upstream reported; versions never decrease.
   void OnWeightsObserved(const WeightsObserved& observed);
 
@@ -86,6 +90,15 @@
                                MonotonicTime now,
                                const Options& options) const;
 
+  /// @return the ages of the versions that matter to the choice of upstreams:
+  /// of each model, newest first, all up to the first one whose limit of
+  /// `required_age` has passed. Models whose newest version has at least
+  /// `max_newest_age` are left out; no model is included in part, since a
+  /// version would then hide the limit of the one before it.
+  std::vector<PublicationAge> PublicationAges(MonotonicTime now,
+                                              Duration required_age,
+                                              Duration max_newest_age) const;
+
   /// @return the versions published for each model, oldest first
   const std::map<std::string, std::vector<PublishedWeights>>& AllPublished()
       const {
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -47,6 +47,9 @@
   void Apply(const WeightsPublished& event) {
     m_state.upstreams.OnWeightsPublished(event, m_now);
   }
+  void Apply(const PublicationAgeReceived& event) {
+    m_state.upstreams.OnPublicationAge(event.publication, m_now);
+  }
   void Apply(const OptionsChanged& event) { m_state.options = event.options; }
   void Apply(const RequestReceived& event);
   void Apply(const CallerDisconnected& event);
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -102,6 +102,32 @@
   DropOldest(versions);
 }
 
+void UpstreamDirectory::OnPublicationAge(const PublicationAge& publication,
+                                         MonotonicTime now) {
+  const auto found = m_published.find(publication.model);
+  if (found == m_published.end() ||
+      publication.version > found->second.back().version) {
+    return;
+  }
+  std::vector<PublishedWeights>& versions = found->second;
+  const MonotonicTime published_by = now - publication.age;
+  auto at = std::lower_bound(
+      versions.begin(), versions.end(), publication.version,
+      [](const PublishedWeights& published, std::uint64_t version) {
+        return published.version < version;
+      });
+  if (at->version != publication.version) {
+    at = versions.insert(at, {publication.version, published_by, false});
+  }
+  at->publish_time_known =
+      at->publish_time_known || publication.publish_time_known;
+  // Earlier versions were published before this one.
+  for (auto published = versions.begin(); published != at + 1; ++published) {
+    published->published_by = std::min(published->published_by, published_by);
+  }
+  DropOldest(versions);
+}
+
 void UpstreamDirectory::OnWeightsObserved(const WeightsObserved& observed) {
   if (Upstream* upstream = Find(observed.upstream)) {
     std::uint64_t& version = upstream->entry.weights[observed.model];
@@ -237,4 +263,25 @@
   return 0;
 }
 
+std::vector<PublicationAge> UpstreamDirectory::PublicationAges(
+    MonotonicTime now,
+    Duration required_age,
+    Duration max_newest_age) const {
+  std::vector<PublicationAge> ages;
+  for (const auto& [model, versions] : m_published) {
+    if (now - versions.back().published_by >= max_newest_age) {
+      continue;
+    }
+    for (const PublishedWeights& published : std::views::reverse(versions)) {
+      const Duration age = now - published.published_by;
+      ages.push_back(
+          {model, published.version, age, published.publish_time_known});
+      if (age >= required_age) {
+        break;
+      }
+    }
+  }
+  return ages;
+}
+
 }  // namespace jasminehatch::forwarding
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -331,6 +331,37 @@
   STRCMP_EQUAL("e2", OnlyStart(fixture.Send("/prompt/")).upstream.c_str());
 }
 
+// Guards against a restarted daemon that uses the few engines with new weights
+// alone, although a peer knows that the old ones may still be used.
+TEST(ForwardingStep, APeerTellsTheAgeOfAVersionFoundAtStartup) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e2", "engine", 2);
+  fixture.Apply(WeightsPublished{"m", 2, false});
+  fixture.Apply(PublicationAgeReceived{{"m", 2, 1s, true}});
+  fixture.Apply(UpstreamRemoved{"e2"});
+  fixture.AddUpstream("e1", "engine", 1);
+  const auto limit = fixture.CurrentState().options.version_hard_limit;
+  fixture.Wait(limit - 1s - 1ms);
+  fixture.Confirm();
+  OnlyStart(fixture.Send("/prompt/"));
+  fixture.Wait(1ms);
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/prompt/"))));
+}
+
+// Guards against a restarted daemon that does not require a version because a
+// newer one was published before the daemon started.
+TEST(ForwardingStep, APeerTellsAVersionThatWasReplacedBeforeTheStart) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e1", "engine", 1);
+  fixture.AddUpstream("e2", "engine", 2);
+  fixture.Apply(WeightsPublished{"m", 3, false});
+  fixture.Apply(PublicationAgeReceived{{"m", 3, 1s, true}});
+  fixture.Apply(PublicationAgeReceived{{"m", 2, 10s, true}});
+  for (int i = 0; i < 5; ++i) {
+    STRCMP_EQUAL("e2", OnlyStart(fixture.Send("/prompt/")).upstream.c_str());
+  }
+}
+
 // Guards against sending the same weight version again to an upstream that
 // rejected it.
 TEST(ForwardingStep, UpdatesTheWeightVersionAfterARejection) {
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -230,6 +230,31 @@
   UNSIGNED_LONGS_EQUAL(2, outdated_count(upstreams));
 }
 
+// Guards against a report of a peer that makes a version look younger, or its
+// age better known, than it is.
+TEST(ForwardingStructures, PublicationAgesOnlyIncrease) {
+  UpstreamDirectory upstreams;
+  upstreams.OnPublicationAge({"m", 2, 9s, true}, now);
+  CHECK(upstreams.PublicationAges(now, 5s, 10s).empty());
+  upstreams.OnWeightsPublished({"m", 2, false}, now);
+  upstreams.OnWeightsPublished({"m", 4, true}, now + 1s);
+  upstreams.OnPublicationAge({"m", 5, 9s, true}, now + 1s);
+  using Ages = std::vector<PublicationAge>;
+  CHECK((Ages{{"m", 4, 0s, true}, {"m", 2, 1s, false}}) ==
+        upstreams.PublicationAges(now + 1s, 5s, 10s));
+  upstreams.OnPublicationAge({"m", 2, 500ms, false}, now + 1s);
+  upstreams.OnPublicationAge({"m", 3, 2s, false}, now + 1s);
+  CHECK((Ages{{"m", 4, 0s, true}, {"m", 3, 2s, false}, {"m", 2, 2s, false}}) ==
+        upstreams.PublicationAges(now + 1s, 5s, 10s));
+  upstreams.OnPublicationAge({"m", 2, 3s, true}, now + 1s);
+  upstreams.OnPublicationAge({"m", 3, 6s, false}, now + 1s);
+  CHECK((Ages{{"m", 4, 0s, true}, {"m", 3, 6s, false}}) ==
+        upstreams.PublicationAges(now + 1s, 5s, 10s));
+  CHECK((Ages{{"m", 4, 0s, true}, {"m", 3, 6s, false}, {"m", 2, 6s, true}}) ==
+        upstreams.PublicationAges(now + 1s, 10s, 10s));
+  CHECK(upstreams.PublicationAges(now + 11s, 5s, 10s).empty());
+}
+
 // Guards against counting daemons without a report as idle.
 TEST(ForwardingStructures, LoadOfDaemonsWithoutReportsIsEstimated) {
   FleetLoad fleet;
--- a/packages/core/tests/forwarding_weights_property_test.cc
+++ b/packages/core/tests/forwarding_weights_property_test.cc
@@ -4,6 +4,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -35,7 +36,8 @@
 /// @brief Daemons that place prompts on the same three engines.
 ///
 /// A daemon that runs observes each publication. One that starts finds only the
-/// newest version and does not learn its age from the operators.
+/// newest version and learns its age from the others, unless the message is
+/// lost.
 class FleetModel {
  public:
   FleetModel() {
@@ -54,8 +56,11 @@
       Publish(m_published.back().version + 1 + rest % 2);
     } else if (choice < 14) {
       Restart(m_daemons.at(rest % m_daemons.size()));
-    } else {
+    } else if (choice < 15) {
       Load(rest % m_versions.size());
+    } else {
+      Gossip(m_daemons.at(rest % m_daemons.size()),
+             rest % 2 == 0 ? Duration::max() : 10s);
     }
     for (Daemon& daemon : m_daemons) {
       CheckPlacement(daemon);
@@ -111,6 +116,22 @@
     }
   }
 
+  /// The others receive what a daemon knows.
+  void Gossip(const Daemon& sender, Duration max_newest_age) {
+    const State& state = sender.fixture->CurrentState();
+    const auto ages = state.upstreams.PublicationAges(
+        sender.fixture->Now(), state.options.version_hard_limit,
+        max_newest_age);
+    for (Daemon& daemon : m_daemons) {
+      if (&daemon == &sender) {
+        continue;
+      }
+      for (const PublicationAge& age : ages) {
+        daemon.fixture->Apply(PublicationAgeReceived{age});
+      }
+    }
+  }
+
   std::uint64_t RequiredVersion(Duration limit) const {
     std::uint64_t required = 0;
     for (const Publication& publication : m_published) {
@@ -121,10 +142,15 @@
     return required;
   }
 
+  std::uint64_t NewestInUse() const {
+    return *std::max_element(m_versions.begin(), m_versions.end());
+  }
+
   void CheckPlacement(Daemon& daemon) {
     ForwardingFixture& fixture = *daemon.fixture;
     const auto starts = EffectsOf<StartAttempt>(fixture.Send("/prompt/"));
     if (starts.empty()) {
+      RC_ASSERT(NewestInUse() < m_published.back().version);
       return;
     }
     fixture.End(AttemptOutcome::kCompleted);
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -40,8 +40,8 @@
 
 class ForwardingHost;
 
-/// @brief Exchanges load reports, weight changes, crash reports and freshness
-/// proofs with other daemons over UDP.
+/// @brief Exchanges load reports, weight changes, ages of published weights,
+/// crash reports and freshness proofs with other daemons over UDP.
 ///
 /// Daemons find each other in a topic of the platform's store. Gossip improves
 /// decisions, but no guarantee depends on its delivery, so lost or late
@@ -122,6 +122,11 @@
   /// Includes a crash report in each message for a while.
   void Broadcast(const forwarding::CrashReport& report);
 
+  /// Tells the peers that this daemon was asked to stop: they no longer count
+  /// it as live. It goes on exchanging messages until `Stop`, since a daemon
+  /// that starts meanwhile may not know of anyone else.
+  void AnnounceStop();
+
   void Stop();
 
  private:
@@ -129,6 +134,8 @@
     asio::ip::udp::endpoint endpoint;
     std::string zone;
     std::uint64_t incarnation = 0;
+    /// When this daemon first heard of the incarnation.
+    MonotonicTime incarnation_seen_at{};
     std::uint64_t last_sequence = 0;  ///< Of the newest message received.
     MonotonicTime last_seen_at{};
     /// Of the newest message received, on the peer's clock.
@@ -137,6 +144,7 @@
     bool message_received = false;
     /// Relative capacity of its VM; nothing if it does not relay feeds.
     std::optional<double> capacity;
+    bool stopping = false;  ///< It was asked to stop.
   };
 
   struct PendingWeightsUpdate {
@@ -149,6 +157,9 @@
     MonotonicTime until{};
   };
 
+  /// @return whether the peer has sent a message recently
+  static bool IsHeard(const Peer& peer, MonotonicTime now);
+  /// @return whether the peer is heard and was not asked to stop
   static bool IsLive(const Peer& peer, MonotonicTime now);
   void Register();
   void ReadPeers();
@@ -194,6 +205,7 @@
   std::uint64_t m_sequence = 0;
   std::uint64_t m_round = 0;
   std::mt19937_64 m_random{std::random_device{}()};
+  bool m_stop_announced = false;
   bool m_stopped = false;
 };
 
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -251,7 +251,7 @@
     m_rollout.Stop();
     if (m_gossip) {
       m_relay->Stop();
-      m_gossip->Stop();
+      m_gossip->AnnounceStop();
     }
     CheckStop();
   }
@@ -617,6 +617,9 @@
   // The platform terminates the process soon after this.
   const bool out_of_time = age >= m_settings.stop_grace - milliseconds(300);
   if (idle || out_of_time) {
+    if (m_gossip) {
+      m_gossip->Stop();
+    }
     m_log.Write(DecisionLog::Level::kState, "stopped", {});
     m_log.Flush();
     m_on_stopped();
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -36,10 +36,20 @@
 /// it gets them even if it is no longer considered live.
 constexpr milliseconds kPeerTimeout{6000};
 
-/// A daemon that sent a message within this time is considered live: it counts
-/// in `LivePeerCount` and `Rank`, and its incarnation cannot decrease.
+/// A daemon that sent a message within this time is considered live, unless it
+/// is stopping: it counts in `LivePeerCount` and `Rank`. Its incarnation cannot
+/// decrease.
 constexpr milliseconds kLivenessTimeout{2000};
 
+/// A daemon gets the ages of all published weights that matter for this long
+/// after its start, since it cannot learn them from the operators' records.
+constexpr milliseconds kNewPeerTime{2000};
+
+/// The ages of the versions of a model are in each message until the newest one
+/// has this multiple of `Options::version_hard_limit`, for daemons that were
+/// suspended or cut off when it was published.
+constexpr int kYoungPublicationFactor = 2;
+
 /// Each update of an upstream's weights is repeated for this long because
 /// messages may be lost.
 constexpr milliseconds kWeightsUpdateRepeatTime{1000};
@@ -99,6 +109,11 @@
   Register();
 }
 
+void PeerGossip::AnnounceStop() {
+  m_stop_announced = true;
+  Send();
+}
+
 void PeerGossip::Stop() {
   m_stopped = true;
   m_send_timer.cancel();
@@ -176,12 +191,14 @@
   // A daemon whose wall clock was set back may restart with a lower
   // incarnation, which is accepted once the earlier process is no longer live.
   if (error ||
-      (incarnation < peer.incarnation && IsLive(peer, m_clock.Now()))) {
+      (incarnation < peer.incarnation && IsHeard(peer, m_clock.Now()))) {
     return;
   }
   if (incarnation != peer.incarnation) {
+    peer.incarnation_seen_at = m_clock.Now();
     peer.last_sequence = 0;
     peer.last_sent_ms = 0;
+    peer.stopping = false;
   }
   peer.endpoint = endpoint;
   peer.zone = zone;
@@ -233,6 +250,7 @@
   found->second.last_sent_ms = message.sent_ms;
   found->second.message_received = true;
   found->second.capacity = message.capacity;
+  found->second.stopping = message.stopping;
   if (m_on_peer_proof && message.freshness_proof_age_ms &&
       message.echo_ms > 0) {
     // The proof had this age when the peer sent the message. `echo_ms` is a
@@ -250,6 +268,9 @@
   for (const forwarding::CrashReport& report : message.crash_reports) {
     m_host.Apply(forwarding::CrashReportReceived{report});
   }
+  for (const forwarding::PublicationAge& publication : message.publications) {
+    m_host.Apply(forwarding::PublicationAgeReceived{publication});
+  }
   for (const codec::WeightsUpdate& update : message.weights_updates) {
     if (!update.loading) {
       m_host.Apply(forwarding::WeightsObserved{update.upstream, update.model,
@@ -288,10 +309,14 @@
   return {std::move(same_zone), std::move(other_zones)};
 }
 
-bool PeerGossip::IsLive(const Peer& peer, MonotonicTime now) {
+bool PeerGossip::IsHeard(const Peer& peer, MonotonicTime now) {
   return peer.message_received && now - peer.last_seen_at <= kLivenessTimeout;
 }
 
+bool PeerGossip::IsLive(const Peer& peer, MonotonicTime now) {
+  return IsHeard(peer, now) && !peer.stopping;
+}
+
 std::size_t PeerGossip::LivePeerCount() const {
   const MonotonicTime now = m_clock.Now();
   return static_cast<std::size_t>(std::count_if(
@@ -370,6 +395,7 @@
   message.zone = m_options.zone;
   message.incarnation = m_options.incarnation;
   message.capacity = m_options.capacity;
+  message.stopping = m_stop_announced;
   for (const auto& [id, upstream] : m_host.State().upstreams.All()) {
     if (upstream->in_flight > 0) {
       message.loads.push_back({forwarding::FleetLoad::CompactId(id),
@@ -394,8 +420,16 @@
 
 void PeerGossip::SendTo(const std::vector<const Peer*>& peers,
                         codec::GossipMessage& message) {
+  const MonotonicTime now = m_clock.Now();
+  const Duration limit = m_host.State().options.version_hard_limit;
+  const forwarding::UpstreamDirectory& upstreams = m_host.State().upstreams;
+  const auto all = upstreams.PublicationAges(now, limit, Duration::max());
+  const auto young =
+      upstreams.PublicationAges(now, limit, limit * kYoungPublicationFactor);
   message.sequence = ++m_sequence;
   for (const Peer* peer : peers) {
+    const bool is_new = now - peer->incarnation_seen_at <= kNewPeerTime;
+    message.publications = is_new ? all : young;
     message.echo_ms = peer->last_sent_ms;
     const std::string bytes = message.Encode();
     asio::error_code ignored;
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -74,6 +74,12 @@
   daemon::PeerGossip gossip;
 };
 
+/// @return whether the daemon knows when this version was published
+bool KnowsPublicationOf(const Node& node, std::uint64_t version) {
+  const auto newest = node.host.State().upstreams.NewestPublished("m");
+  return newest && newest->version == version && newest->publish_time_known;
+}
+
 }  // namespace
 
 TEST_GROUP_BASE(PeerGossip, jasminehatch::testing::LeakDetectorOff){};
@@ -104,3 +110,63 @@
   CHECK(
       fixture.RunUntil([&] { return left.host.State().crashes.Size() == 2; }));
 }
+
+// Guards against a daemon that does not learn after its start when weights were
+// published long before.
+TEST(PeerGossip, AStartingDaemonLearnsOldPublicationAges) {
+  GossipFixture fixture;
+  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  forwarding::Options options;
+  options.version_hard_limit = 1ms;
+  left.host.Apply(forwarding::OptionsChanged{options});
+  left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
+  fixture.loop.run_for(50ms);
+  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
+  CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
+}
+
+// Guards against a daemon that was suspended when weights were published and
+// does not learn how long ago that was.
+TEST(PeerGossip, YoungPublicationAgesAreRepeated) {
+  GossipFixture fixture;
+  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
+  // Longer than `left` treats `right` as new.
+  fixture.loop.run_for(2500ms);
+  right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
+  left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
+  CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
+}
+
+// Guards against a rolling restart in which the daemons that know when weights
+// were published fall silent before the first one has restarted.
+TEST(PeerGossip, AStoppingDaemonStillTellsPublicationAges) {
+  GossipFixture fixture;
+  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
+  left.gossip.AnnounceStop();
+  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
+  CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
+  UNSIGNED_LONGS_EQUAL(0, right.gossip.LivePeerCount());
+}
+
+// Guards against a stopping daemon that others still choose as a reader or
+// count in their ranks.
+TEST(PeerGossip, AStoppingDaemonIsNotLive) {
+  GossipFixture fixture;
+  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  CHECK(fixture.RunUntil([&] {
+    return left.gossip.LivePeerCount() == 1 &&
+           right.gossip.LivePeerCount() == 1;
+  }));
+  UNSIGNED_LONGS_EQUAL(1, right.gossip.LiveZonePeers().size());
+  left.gossip.AnnounceStop();
+  CHECK(fixture.RunUntil([&] { return right.gossip.LivePeerCount() == 0; }));
+  UNSIGNED_LONGS_EQUAL(0, right.gossip.Rank());
+  UNSIGNED_LONGS_EQUAL(0, right.gossip.LiveZonePeers().size());
+  UNSIGNED_LONGS_EQUAL(1, left.gossip.LivePeerCount());
+}
