Begin the time limit of a load when its order is sent; log held orders

Nothing said why the orders were held.

Cause: the rollout reducer counted the time limit of a load from its decision, but the lease reducer may hold the order for seconds. Work counted as started before it had left.

Fix: a new event, LoadOrdered, begins the limit. A load takes its place before; if its order cannot be sent within order_timeout, the place goes to another upstream. Upstreams whose loads expired come after the others, so that they do not take the same places again. The lease reducer reports once per reason that an order has been held for half a second; the log shows it as order_held.

With the former rules put back into the reducer (limit from the decision, no order among upstreams), both new tests of the rollout fail:

rollout_test.cc:209: error: Failure in TEST(Rollout, TimeLimitOfALoadBeginsWithItsOrder) CHECK(send(rollout::TimerFired{}).empty()) failed rollout_test.cc:242: error: Failure in TEST(Rollout, UpstreamsThatCannotBeOrderedLeaveTheirPlaces) CHECK((ordered == std::vector<std::string>{"w0", "w1", "w0"})) failed

--- a/packages/core/include/jasminehatch/detail/lease/effect.h
+++ b/packages/core/include/jasminehatch/detail/lease/effect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/lease/hold_reason.h"
 #include "jasminehatch/detail/lease/lease_record.h"
 
 namespace jasminehatch::lease {
@@ -46,8 +47,16 @@
   bool holds = false;
 };
 
-using Effect =
-    std::variant<AppendLease, ReadLeaseStream, SendOrder, HolderChanged>;
+/// Reports why the holder has not sent an order for some time; sent once per
+/// reason.
+struct OrderHeld {
+  std::string group;
+  std::string upstream;
+  HoldReason reason = HoldReason::kNone;
+};
+
+using Effect = std::
+    variant<AppendLease, ReadLeaseStream, SendOrder, HolderChanged, OrderHeld>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/jasminehatch/detail/lease/options.h
+++ b/packages/core/include/jasminehatch/detail/lease/options.h
@@ -25,6 +25,8 @@
   Duration max_read_age = std::chrono::seconds(1);
   /// Longest time from sending an order to its effect at an upstream.
   Duration max_order_delay = std::chrono::seconds(5);
+  /// Time after which a held order is reported with its reason.
+  Duration report_held_after = std::chrono::milliseconds(500);
   /// Time after which an order is repeated whose effect no report shows.
   Duration order_retry = std::chrono::seconds(2);
 };
--- a/packages/core/include/jasminehatch/detail/lease/state.h
+++ b/packages/core/include/jasminehatch/detail/lease/state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/lease/hold_reason.h"
 #include "jasminehatch/detail/lease/lease_record.h"
 #include "jasminehatch/detail/lease/options.h"
 #include "jasminehatch/detail/lease/upstream_state.h"
@@ -23,6 +24,9 @@
   /// From a report since the desired state was set.
   std::optional<std::uint64_t> orders_accepted;
   std::optional<MonotonicTime> ordered_at;
+  HoldReason hold_reason = HoldReason::kNone;
+  MonotonicTime held_since{};
+  bool hold_reported = false;  ///< `OrderHeld` was sent for the reason.
 };
 
 /// @brief The lease of one upstream group as read from the log.
--- a/packages/core/include/jasminehatch/detail/rollout/event.h
+++ b/packages/core/include/jasminehatch/detail/rollout/event.h
@@ -43,6 +43,11 @@
   bool serving = true;  ///< False while it loads, drains or cannot be reached.
 };
 
+/// The order of a load was sent to the upstream; its time limit begins.
+struct LoadOrdered {
+  std::string upstream;
+};
+
 /// The upstream rejected a load order or failed to load the weights.
 struct LoadFailed {
   std::string upstream;
@@ -66,6 +71,7 @@
 
 using Event = std::variant<TargetsConfigured,
                            VersionReported,
+                           LoadOrdered,
                            LoadFailed,
                            HolderChanged,
                            TimeOfDay,
--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -34,6 +34,11 @@
   void AppendClaim(const std::string& name, Group& group);
   void UpdateGroup(const std::string& name, Group& group);
   void SendOrders(const std::string& name, Group& group);
+  HoldReason ReasonToHold(const Group& group, const Upstream& upstream);
+  void TrackHold(const std::string& name,
+                 const std::string& upstream_name,
+                 Upstream& upstream,
+                 HoldReason reason);
   void SendOrdersTo(const std::string& name,
                     const Group& group,
                     const std::string& upstream_name,
@@ -171,19 +176,12 @@
   for (auto& [upstream_name, upstream] : group.upstreams) {
     if (!upstream.desired || !upstream.reported ||
         *upstream.desired == *upstream.reported) {
+      upstream.hold_reason = HoldReason::kNone;
       continue;
     }
-    if (upstream.checks_order_count && !upstream.orders_accepted) {
-      continue;
-    }
-    // Orders of an earlier holder may still change an upstream that checks
-    // neither the fencing token nor the number of orders, so an earlier report
-    // is not reliable.
-    if (!upstream.checks_fencing && !upstream.checks_order_count &&
-        upstream.reported_at < group.earlier_orders_until) {
-      if (m_now < group.earlier_orders_until) {
-        ScheduleTimer(group.earlier_orders_until);
-      }
+    const HoldReason reason = ReasonToHold(group, upstream);
+    TrackHold(name, upstream_name, upstream, reason);
+    if (reason != HoldReason::kNone) {
       continue;
     }
     if (upstream.ordered_at) {
@@ -204,6 +202,45 @@
   }
 }
 
+HoldReason Reducer::ReasonToHold(const Group& group, const Upstream& upstream) {
+  if (upstream.checks_order_count) {
+    return upstream.orders_accepted ? HoldReason::kNone : HoldReason::kNoReport;
+  }
+  // Orders of an earlier holder may still change an upstream that checks
+  // neither the fencing token nor the number of orders, so an earlier report is
+  // not reliable.
+  if (upstream.checks_fencing ||
+      upstream.reported_at >= group.earlier_orders_until) {
+    return HoldReason::kNone;
+  }
+  if (m_now >= group.earlier_orders_until) {
+    return HoldReason::kNoReport;
+  }
+  ScheduleTimer(group.earlier_orders_until);
+  return HoldReason::kEarlierOrders;
+}
+
+void Reducer::TrackHold(const std::string& name,
+                        const std::string& upstream_name,
+                        Upstream& upstream,
+                        HoldReason reason) {
+  if (std::exchange(upstream.hold_reason, reason) != reason) {
+    upstream.held_since = m_now;
+    upstream.hold_reported = false;
+  }
+  if (reason == HoldReason::kNone || upstream.hold_reported) {
+    return;
+  }
+  const MonotonicTime report_at =
+      upstream.held_since + m_state.options.report_held_after;
+  if (m_now < report_at) {
+    ScheduleTimer(report_at);
+    return;
+  }
+  upstream.hold_reported = true;
+  m_effects.emplace_back(OrderHeld{name, upstream_name, reason});
+}
+
 void Reducer::SendOrdersTo(const std::string& name,
                            const Group& group,
                            const std::string& upstream_name,
--- a/packages/core/src/rollout/step.cc
+++ b/packages/core/src/rollout/step.cc
@@ -15,6 +15,7 @@
 
   void Apply(const TargetsConfigured& event);
   void Apply(const VersionReported& event);
+  void Apply(const LoadOrdered& event);
   void Apply(const LoadFailed& event);
   void Apply(const HolderChanged& event);
   void Apply(const TimeOfDay& event);
@@ -25,6 +26,8 @@
  private:
   void Pause(const std::string& upstream, std::string detail);
   void OrderLoads();
+  void StartLoad(const std::string& upstream, const ModelVersion& wanted);
+  std::vector<const Target*> TargetsInOrder() const;
   bool MayStart(LoadStart start) const;
   bool MayStopServing(const std::string& upstream) const;
 
@@ -43,18 +46,33 @@
   OrderLoads();
 }
 
+void Reducer::StartLoad(const std::string& upstream,
+                        const ModelVersion& wanted) {
+  m_state.loads.emplace(upstream,
+                        Load{m_now + m_state.options.order_timeout, false});
+  m_effects.emplace_back(OrderLoad{upstream, wanted});
+}
+
 void Reducer::Apply(const VersionReported& event) {
   m_state.reports.insert_or_assign(event.upstream, event);
   const auto target = m_state.targets.find(event.upstream);
   if (target == m_state.targets.end() ||
       (event.serving && event.loaded == target->second.wanted)) {
-    m_state.load_deadlines.erase(event.upstream);
+    m_state.loads.erase(event.upstream);
   }
   OrderLoads();
 }
 
+void Reducer::Apply(const LoadOrdered& event) {
+  const auto load = m_state.loads.find(event.upstream);
+  if (load != m_state.loads.end() &&
+      !std::exchange(load->second.ordered, true)) {
+    load->second.deadline = m_now + m_state.options.load_timeout;
+  }
+}
+
 void Reducer::Apply(const LoadFailed& event) {
-  if (m_state.load_deadlines.erase(event.upstream) > 0) {
+  if (m_state.loads.erase(event.upstream) > 0) {
     Pause(event.upstream, event.detail);
   }
 }
@@ -62,7 +80,7 @@
 void Reducer::Apply(const HolderChanged& event) {
   m_state.holder = event.holder;
   if (!event.holder) {
-    m_state.load_deadlines.clear();
+    m_state.loads.clear();
   }
   OrderLoads();
 }
@@ -73,17 +91,21 @@
 }
 
 void Reducer::Apply(const TimerFired& /*event*/) {
-  for (auto load = m_state.load_deadlines.begin();
-       load != m_state.load_deadlines.end();) {
-    if (load->second > m_now) {
+  for (auto load = m_state.loads.begin(); load != m_state.loads.end();) {
+    if (load->second.deadline > m_now) {
       ++load;
       continue;
     }
     const std::string upstream = load->first;
-    load = m_state.load_deadlines.erase(load);
-    Pause(upstream,
-          "load timed out: the upstream did not report the wanted weights");
+    const bool ordered = load->second.ordered;
+    load = m_state.loads.erase(load);
+    ++m_state.expired_loads[upstream];
+    if (ordered) {
+      Pause(upstream,
+            "load timed out: the upstream did not report the wanted weights");
+    }
   }
+  OrderLoads();
 }
 
 void Reducer::Pause(const std::string& upstream, std::string detail) {
@@ -119,29 +141,46 @@
       m_state.reports.begin(), m_state.reports.end(), [&](const auto& entry) {
         const auto& [name, other] = entry;
         return name != upstream && other.serving && other.loaded == loaded &&
-               !m_state.load_deadlines.contains(name);
+               !m_state.loads.contains(name);
       });
 }
 
+/// @return the targets; upstreams whose loads expired come last, so that they
+/// do not take the places of the others again and again
+std::vector<const Target*> Reducer::TargetsInOrder() const {
+  std::vector<const Target*> targets;
+  for (const auto& [upstream, target] : m_state.targets) {
+    targets.push_back(&target);
+  }
+  const auto expired = [this](const Target* target) {
+    const auto loads = m_state.expired_loads.find(target->upstream);
+    return loads == m_state.expired_loads.end() ? 0 : loads->second;
+  };
+  std::stable_sort(targets.begin(), targets.end(),
+                   [&](const Target* a, const Target* b) {
+                     return expired(a) < expired(b);
+                   });
+  return targets;
+}
+
 void Reducer::OrderLoads() {
   if (!m_state.holder || m_state.paused) {
     return;
   }
-  for (const auto& [upstream, target] : m_state.targets) {
-    if (m_state.load_deadlines.size() >= m_state.options.max_loads) {
+  for (const Target* target : TargetsInOrder()) {
+    if (m_state.loads.size() >= m_state.options.max_loads) {
       return;
     }
+    const std::string& upstream = target->upstream;
     const auto report = m_state.reports.find(upstream);
     const bool reached = report != m_state.reports.end() &&
-                         report->second.loaded == target.wanted;
+                         report->second.loaded == target->wanted;
     if (report == m_state.reports.end() || reached ||
-        m_state.load_deadlines.contains(upstream) || !MayStart(target.start) ||
+        m_state.loads.contains(upstream) || !MayStart(target->start) ||
         !MayStopServing(upstream)) {
       continue;
     }
-    m_state.load_deadlines.emplace(upstream,
-                                   m_now + m_state.options.load_timeout);
-    m_effects.emplace_back(OrderLoad{upstream, target.wanted});
+    StartLoad(upstream, target->wanted);
   }
 }
 
@@ -149,9 +188,9 @@
 
 std::optional<MonotonicTime> State::NextTimer() const {
   std::optional<MonotonicTime> next;
-  for (const auto& [upstream, deadline] : load_deadlines) {
-    if (!next || deadline < *next) {
-      next = deadline;
+  for (const auto& [upstream, load] : loads) {
+    if (!next || load.deadline < *next) {
+      next = load.deadline;
     }
   }
   return next;
--- a/packages/core/tests/lease_property_test.cc
+++ b/packages/core/tests/lease_property_test.cc
@@ -245,7 +245,8 @@
         }
         m_newest_order = std::max(m_newest_order, fence);
       }
-      if (!std::holds_alternative<lease::HolderChanged>(effect)) {
+      if (!std::holds_alternative<lease::HolderChanged>(effect) &&
+          !std::holds_alternative<lease::OrderHeld>(effect)) {
         m_messages.push_back({process, owner.start, fence, effect, {}});
       }
     }
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -38,6 +38,10 @@
                 ? " count " + std::to_string(*effect.orders_accepted)
                 : "");
   }
+  std::string operator()(const lease::OrderHeld& effect) const {
+    return "held for " + effect.upstream + ": reason " +
+           std::to_string(static_cast<int>(effect.reason));
+  }
   std::string operator()(const lease::HolderChanged& effect) const {
     return effect.holds ? "holds the lease" : "does not hold the lease";
   }
@@ -153,3 +157,23 @@
   STRCMP_CONTAINS("> order counting: load m2 fence none count 7\n",
                   m_trace.c_str());
 }
+
+// Guards against a holder that does not send its orders and does not say why,
+// or says it again and again.
+TEST(LeaseSession, HeldOrderIsReportedOnce) {
+  m_states["entry-1"].self = {"entry-1", 1};
+  Send("entry-1", "starts",
+       lease::UpstreamConfigured{"group", "counting", false, true});
+  Send("entry-1", "counting is to load m2",
+       lease::DesiredChanged{"group", "counting", {"m2", "", false}});
+  Read("entry-1");
+  Read("entry-1");
+  Report("entry-1", "counting");
+  Timer("entry-1", 499ms);
+  CHECK(m_trace.find("held for") == std::string::npos);
+  Timer("entry-1", 1ms);
+  STRCMP_CONTAINS("> held for counting: reason 1\n", m_trace.c_str());
+  m_trace.clear();
+  Timer("entry-1", 1s);
+  CHECK(m_trace.find("held for") == std::string::npos);
+}
--- a/packages/core/tests/rollout_test.cc
+++ b/packages/core/tests/rollout_test.cc
@@ -190,3 +190,55 @@
   CHECK_EQUAL(0, order_count(rollout::TimeOfDay{std::chrono::hours(5)}));
   CHECK_EQUAL(1, order_count(rollout::TimeOfDay{std::chrono::hours(23)}));
 }
+
+// Guards against a load that times out although its order was never sent, for
+// example while the lease holds it back.
+TEST(Rollout, TimeLimitOfALoadBeginsWithItsOrder) {
+  rollout::State state;
+  MonotonicTime now{};
+  const auto send = [&](const rollout::Event& event) {
+    return Step(event, now, state);
+  };
+  send(rollout::HolderChanged{true});
+  send(rollout::VersionReported{"w0", {"assistant", "v1"}, true});
+  send(rollout::TargetsConfigured{
+      {{"w0", {"assistant", "v2"}, rollout::LoadStart::kNow}}, {}});
+  now += state.options.order_timeout - 1s;
+  send(rollout::LoadOrdered{"w0"});
+  now += state.options.load_timeout - 1ms;
+  CHECK(send(rollout::TimerFired{}).empty());
+  CHECK(!state.paused);
+  now += 1ms;
+  CHECK_EQUAL(1, send(rollout::TimerFired{}).size());
+  CHECK(state.paused);
+}
+
+// Guards against a rollout that stops because the first upstreams cannot be
+// ordered: they would take all places for loads again and again.
+TEST(Rollout, UpstreamsThatCannotBeOrderedLeaveTheirPlaces) {
+  rollout::State state;
+  state.options.max_loads = 1;
+  MonotonicTime now{};
+  std::vector<std::string> ordered;
+  const auto send = [&](const rollout::Event& event) {
+    for (const auto& effect : Step(event, now, state)) {
+      if (const auto* order = std::get_if<rollout::OrderLoad>(&effect)) {
+        ordered.push_back(order->upstream);
+      }
+    }
+  };
+  send(rollout::HolderChanged{true});
+  rollout::TargetsConfigured targets;
+  for (const char* upstream : {"w0", "w1"}) {
+    send(rollout::VersionReported{upstream, {"assistant", "v1"}, true});
+    targets.targets.push_back(
+        {upstream, {"assistant", "v2"}, rollout::LoadStart::kNow});
+  }
+  send(targets);
+  for (int i = 0; i < 2; ++i) {
+    now += state.options.order_timeout;
+    send(rollout::TimerFired{});
+  }
+  CHECK((ordered == std::vector<std::string>{"w0", "w1", "w0"}));
+  CHECK(!state.paused);
+}
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -119,6 +119,7 @@
   void Execute(const lease::ReadLeaseStream& effect);
   void Execute(const lease::SendOrder& effect);
   void Execute(const lease::HolderChanged& effect);
+  void Execute(const lease::OrderHeld& effect);
   void Execute(const rollout::OrderLoad& effect);
   void Execute(const rollout::ReportPaused& effect);
   void OnOrderResponse(const std::string& key, platform::OrderResult response);
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -51,9 +51,14 @@
 /// take effect seconds later, and the platform charges for each.
 constexpr milliseconds kOrderRetryDelay{4000};
 
-/// An engine that has not loaded the weights by then gets another order.
+/// An engine that has not loaded the weights this long after the order gets
+/// another one.
 constexpr milliseconds kLoadTimeout{5000};
 
+/// An engine to which no order could be sent for this long, for example since
+/// it does not report its state, comes after the others.
+constexpr milliseconds kOrderTimeout{2000};
+
 /// Engines compare the number of orders that an order carries with their own
 /// count, whether they check the fencing token or not.
 constexpr bool kEnginesCheckOrderCount = true;
@@ -69,6 +74,18 @@
   return state;
 }
 
+std::string_view NameOf(lease::HoldReason reason) {
+  switch (reason) {
+    case lease::HoldReason::kNone:
+      return "none";
+    case lease::HoldReason::kNoReport:
+      return "no_report";
+    case lease::HoldReason::kEarlierOrders:
+      return "earlier_orders";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 WeightsRollout::WeightsRollout(asio::io_context& loop,
@@ -96,6 +113,7 @@
   m_lease.options.append_retry = milliseconds(400);
   m_lease.options.order_retry = kOrderRetryDelay;
   m_rollout.options.load_timeout = kLoadTimeout;
+  m_rollout.options.order_timeout = kOrderTimeout;
 }
 
 std::map<std::string, WeightsRollout::Target> WeightsRollout::CollectTargets()
@@ -178,6 +196,7 @@
   m_targets.clear();
   m_reports.clear();
   m_rollout.reports.clear();
+  m_rollout.expired_loads.clear();
   StepRollout(rollout::TargetsConfigured{});
   m_log.Write(DecisionLog::Level::kState, "rollout_done", {});
 }
@@ -198,7 +217,7 @@
     configured.targets.push_back({key, wanted, rollout::LoadStart::kNow});
     configured.in_use.push_back(wanted);
   }
-  m_rollout.load_deadlines.clear();
+  m_rollout.loads.clear();
   StepRollout(configured);
 }
 
@@ -278,7 +297,7 @@
 
 void WeightsRollout::QueryEngines() {
   const MonotonicTime now = m_clock.Now();
-  for (const auto& [key, deadline] : m_rollout.load_deadlines) {
+  for (const auto& [key, load] : m_rollout.loads) {
     const auto target = m_targets.find(key);
     Report& report = m_reports[key];
     if (target == m_targets.end() || report.query_pending ||
@@ -410,6 +429,12 @@
   StepRollout(rollout::HolderChanged{effect.holds});
 }
 
+void WeightsRollout::Execute(const lease::OrderHeld& effect) {
+  const std::array fields{DecisionLogField{"upstream", effect.upstream},
+                          DecisionLogField{"reason", NameOf(effect.reason)}};
+  m_log.Write(DecisionLog::Level::kState, "order_held", fields);
+}
+
 void WeightsRollout::Execute(const rollout::OrderLoad& effect) {
   const auto target = m_targets.find(effect.upstream);
   if (target == m_targets.end()) {
@@ -456,6 +481,7 @@
   const std::array fields{DecisionLogField{"upstream", order.upstream},
                           DecisionLogField{"version", effect.value}};
   m_log.Write(DecisionLog::Level::kState, "weights_ordered", fields);
+  StepRollout(rollout::LoadOrdered{effect.upstream});
   m_engines.SendOrder(
       order, [this, key = effect.upstream](platform::OrderResult response) {
         OnOrderResponse(key, response);
