Keep the places of loads in progress when a rollout is retried

When one load timed out, or a target was added, removed or changed, the daemon cleared the places of all loads and ordered from the first engine on again: engines that were still loading lost their places (more loads at once than allowed), and all limits began anew.

Cause: the rollout reducer kept a load whose target changed as it was, so the daemon dropped all loads before it configured the targets.

Fix: an option of the reducer, supersede_loads: loads of unchanged targets keep place and limit, a load whose target changed keeps its place and is ordered again, and one without a target ends. The daemon sets it and clears nothing any more.

With the clearing put back into the reducer, the test fails:

rollout_test.cc:282: error: Failure in TEST(Rollout, ARetryKeepsTheOtherLoadsInProgress) expected <w0 v2, w1 v2, w2 v2, w2 v3, > but was <w0 v2, w1 v2, w1 v2, w2 v2, w1 v2, w2 v3, >

--- a/packages/core/include/jasminehatch/detail/rollout/state.h
+++ b/packages/core/include/jasminehatch/detail/rollout/state.h
@@ -24,6 +24,9 @@
   /// Time after which a load whose order could not be sent leaves its place to
   /// another upstream.
   Duration order_timeout = std::chrono::seconds(10);
+  /// Whether an upstream that loads weights is ordered at once to load others
+  /// when its target changes. Otherwise it gets the order after the load.
+  bool supersede_loads = false;
   /// Quiet hours, in which `LoadStart::kQuietHours` allows loads to begin, as
   /// local time since midnight. The end is exclusive.
   std::chrono::minutes quiet_begin = std::chrono::hours(22);
--- a/packages/core/src/rollout/step.cc
+++ b/packages/core/src/rollout/step.cc
@@ -26,6 +26,7 @@
  private:
   void Pause(const std::string& upstream, std::string detail);
   void OrderLoads();
+  void SupersedeLoads(const std::map<std::string, Target>& previous);
   void StartLoad(const std::string& upstream, const ModelVersion& wanted);
   std::vector<const Target*> TargetsInOrder() const;
   bool MayStart(LoadStart start) const;
@@ -37,19 +38,35 @@
 };
 
 void Reducer::Apply(const TargetsConfigured& event) {
-  m_state.targets.clear();
+  const auto previous = std::exchange(m_state.targets, {});
   for (const Target& target : event.targets) {
     m_state.targets.emplace(target.upstream, target);
   }
   m_state.in_use = {event.in_use.begin(), event.in_use.end()};
   m_state.paused = false;
+  if (m_state.options.supersede_loads) {
+    SupersedeLoads(previous);
+  }
   OrderLoads();
 }
 
+void Reducer::SupersedeLoads(const std::map<std::string, Target>& previous) {
+  std::erase_if(m_state.loads, [this](const auto& load) {
+    return !m_state.targets.contains(load.first);
+  });
+  for (const auto& [upstream, load] : std::map(m_state.loads)) {
+    const ModelVersion& wanted = m_state.targets.at(upstream).wanted;
+    const auto before = previous.find(upstream);
+    if (before == previous.end() || before->second.wanted != wanted) {
+      StartLoad(upstream, wanted);
+    }
+  }
+}
+
 void Reducer::StartLoad(const std::string& upstream,
                         const ModelVersion& wanted) {
-  m_state.loads.emplace(upstream,
-                        Load{m_now + m_state.options.order_timeout, false});
+  m_state.loads.insert_or_assign(
+      upstream, Load{m_now + m_state.options.order_timeout, false});
   m_effects.emplace_back(OrderLoad{upstream, wanted});
 }
 
--- a/packages/core/tests/rollout_test.cc
+++ b/packages/core/tests/rollout_test.cc
@@ -242,3 +242,42 @@
   CHECK((ordered == std::vector<std::string>{"w0", "w1", "w0"}));
   CHECK(!state.paused);
 }
+
+// Guards against loads that lose their places, and against more loads at once
+// than allowed, when a load that timed out is retried or a target changes.
+TEST(Rollout, ARetryKeepsTheOtherLoadsInProgress) {
+  rollout::State state;
+  state.options.supersede_loads = true;
+  MonotonicTime now{};
+  std::string ordered;
+  const auto send = [&](const rollout::Event& event) {
+    for (const auto& effect : Step(event, now, state)) {
+      if (const auto* order = std::get_if<rollout::OrderLoad>(&effect)) {
+        ordered += order->upstream + " " + order->wanted.version + ", ";
+      }
+    }
+  };
+  const auto configure = [&](const std::string& last) {
+    rollout::TargetsConfigured targets;
+    for (const std::string upstream : {"w0", "w1", "w2"}) {
+      targets.targets.push_back({upstream,
+                                 {"assistant", upstream == "w2" ? last : "v2"},
+                                 rollout::LoadStart::kNow});
+    }
+    send(targets);
+  };
+  send(rollout::HolderChanged{true});
+  for (const char* upstream : {"w0", "w1", "w2"}) {
+    send(rollout::VersionReported{upstream, {"assistant", "v1"}, true});
+  }
+  configure("v2");
+  send(rollout::LoadOrdered{"w0"});
+  now += 1s;
+  send(rollout::LoadOrdered{"w1"});
+  now += state.options.load_timeout - 1s;
+  send(rollout::TimerFired{});
+  CHECK(state.paused);
+  configure("v2");
+  configure("v3");
+  STRCMP_EQUAL("w0 v2, w1 v2, w2 v2, w2 v3, ", ordered.c_str());
+}
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -114,6 +114,7 @@
   m_lease.options.order_retry = kOrderRetryDelay;
   m_rollout.options.load_timeout = kLoadTimeout;
   m_rollout.options.order_timeout = kOrderTimeout;
+  m_rollout.options.supersede_loads = true;
 }
 
 std::map<std::string, WeightsRollout::Target> WeightsRollout::CollectTargets()
@@ -217,7 +218,6 @@
     configured.targets.push_back({key, wanted, rollout::LoadStart::kNow});
     configured.in_use.push_back(wanted);
   }
-  m_rollout.loads.clear();
   StepRollout(configured);
 }
 
