Send nothing to an upstream that says it is leaving

What callers saw: their requests kept going to an upstream that had said in each of its responses (Server-Leaving: 1) that it is leaving, until the registry said so; there they are rejected, or broken off when it exits.

Cause: nothing reads the header. A daemon knows of a leaving upstream from the registry alone, which may lag behind, and never say it.

Fix: the adapter decodes the notice of each response, also of errors, rejections and responses to load orders and queries. The upstream is then no candidate for new requests and retries, and no target of load orders; its idle connections are closed, running attempts continue. The notice belongs to the process: entries of the same process, and its removal and return, do not undo it, another start does. At most 1,024 notices of removed upstreams are kept. The header is not passed on to callers. A response to another request is no notice, as a faulty upstream may repeat an earlier one. A 421 of another upstream at the address counts for that one. Cache stores are in no registry and get no requests.

--- a/packages/core/include/jasminehatch/core.h
+++ b/packages/core/include/jasminehatch/core.h
@@ -47,6 +47,7 @@
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/placement.h"
 #include "jasminehatch/detail/forwarding/publication_age.h"
+#include "jasminehatch/detail/forwarding/removed_upstream_notices.h"
 #include "jasminehatch/detail/forwarding/request.h"
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
 #include "jasminehatch/detail/forwarding/route_table.h"
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -33,6 +33,7 @@
   kUpstreamRestarted,
   kUpstreamLost,
   kUpstreamPaused,
+  kUpstreamLeaving,
   kQueuedRequestDisplaced,
   kRequestSuspected,
   kSuspectCleared,
--- a/packages/core/include/jasminehatch/detail/forwarding/effect.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/effect.h
@@ -33,7 +33,8 @@
 struct StartAttempt {
   RequestId request;
   AttemptId attempt;
-  std::string upstream;  ///< Id of the upstream.
+  std::string upstream;          ///< Id of the upstream.
+  std::uint64_t started_at = 0;  ///< `UpstreamEntry::started_at`.
   std::string address;
   MonotonicTime deadline{};
   std::optional<MonotonicTime> timeout_at;  ///< Time limit of this attempt.
@@ -50,6 +51,11 @@
   AttemptId attempt;
 };
 
+/// Close the idle connections to an address.
+struct CloseIdleConnections {
+  std::string address;
+};
+
 /// Send the response of the attempt to the caller.
 struct DeliverResponse {
   RequestId request;
@@ -80,12 +86,13 @@
 /// @brief Log a decision with its inputs and outcome.
 struct LogDecision {
   std::string_view event;
-  std::string request;  ///< The caller's id of the request.
+  std::string request;  ///< The caller's id of the request; may be empty.
   std::vector<DecisionField> fields;
 };
 
 using Effect = std::variant<StartAttempt,
                             CancelAttempt,
+                            CloseIdleConnections,
                             DeliverResponse,
                             RefuseRequest,
                             ShareCrashReport,
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -141,6 +141,14 @@
   std::uint64_t version = 0;
 };
 
+/// A response of an upstream said that it is leaving.
+struct UpstreamLeaving {
+  std::string upstream;
+  /// `UpstreamEntry::started_at` when the request was sent; absent if the
+  /// request was meant for another upstream.
+  std::optional<std::uint64_t> started_at;
+};
+
 /// An upstream started or finished loading weights; it accepts no requests
 /// meanwhile.
 struct UpstreamLoading {
@@ -198,6 +206,7 @@
                            ResponseStarted,
                            LoadObserved,
                            WeightsObserved,
+                           UpstreamLeaving,
                            UpstreamLoading,
                            AttemptEnded,
                            CacheListed,
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -12,9 +12,19 @@
 
 namespace jasminehatch::forwarding {
 
+/// @brief What the responses of an upstream's process said about new requests.
+/// The registry may lag behind it.
+struct UpstreamNotice {
+  bool leaving = false;  ///< It accepts no new requests until it exits.
+
+  friend bool operator==(const UpstreamNotice&,
+                         const UpstreamNotice&) = default;
+};
+
 /// @brief State of one upstream as known to this daemon.
 struct Upstream {
   UpstreamEntry entry;
+  UpstreamNotice notice;
   std::optional<MonotonicTime>
       removed_at;        ///< Time of removal from the registry.
   bool loading = false;  ///< It is loading weights.
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -13,6 +13,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/removed_upstream_notices.h"
 #include "jasminehatch/detail/forwarding/upstream.h"
 
 namespace jasminehatch::forwarding {
@@ -56,6 +57,11 @@
   /// Records that an upstream rejected the weight version expected of it.
   void OnWeightsRejected(const std::string& id, const std::string& model);
 
+  /// Records that a process said that it is leaving. No registry entry of the
+  /// same process undoes it.
+  /// @return whether this is new and of the registered process
+  bool OnLeaving(const UpstreamLeaving& event);
+
   /// @return the upstream, or null
   Upstream* Find(const std::string& id);
   const Upstream* Find(const std::string& id) const;
@@ -63,7 +69,8 @@
   /// @return all upstreams of a service, including those that are not usable
   std::span<Upstream* const> OfService(const std::string& service) const;
 
-  /// @return whether the upstream may be used according to the registry
+  /// @return whether the upstream may be used according to the registry and its
+  /// own notices
   bool IsUsable(const Upstream& upstream, MonotonicTime now) const;
 
   /// @return the newest published weights of the model, if any
@@ -121,6 +128,7 @@
   std::unordered_map<std::string, std::vector<Upstream*>> m_by_service;
   std::map<std::string, std::vector<PublishedWeights>> m_published;
   std::optional<MonotonicTime> m_removals_deferred_until;
+  RemovedUpstreamNotices m_removed_notices;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -23,6 +23,7 @@
     "upstream_restarted",
     "upstream_lost",
     "upstream_paused",
+    "upstream_leaving",
     "queued_request_displaced",
     "request_suspected",
     "suspect_cleared",
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -111,6 +111,7 @@
   start.request = request.arrival.request;
   start.attempt = id;
   start.upstream = upstream.entry.id;
+  start.started_at = upstream.entry.started_at;
   start.address = upstream.entry.address;
   start.deadline = request.deadline;
   start.timeout_at = request.attempt->timeout_at;
@@ -195,6 +196,16 @@
                                     kMinStreamTimeout);
 }
 
+void Reducer::Apply(const UpstreamLeaving& event) {
+  if (!m_state.upstreams.OnLeaving(event)) {
+    return;
+  }
+  m_effects.emplace_back(CountEvent{Counter::kUpstreamLeaving});
+  m_effects.emplace_back(CloseIdleConnections{
+      m_state.upstreams.Find(event.upstream)->entry.address});
+  Log("upstream_leaving", {{"upstream", event.upstream}});
+}
+
 void Reducer::Apply(const ResponseStarted& event) {
   Request* request = Find(event.request);
   if (request == nullptr || !request->attempt ||
@@ -213,6 +224,9 @@
   }
   if (Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream)) {
     upstream->OnAttemptEnded(request.expected_tokens);
+    if (upstream->notice.leaving) {
+      m_effects.emplace_back(CloseIdleConnections{upstream->entry.address});
+    }
   }
   request.tried_upstreams.push_back(request.attempt->upstream);
   request.attempt.reset();
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -62,6 +62,7 @@
   void Apply(const WeightsObserved& event) {
     m_state.upstreams.OnWeightsObserved(event);
   }
+  void Apply(const UpstreamLeaving& event);
   void Apply(const UpstreamLoading& event) {
     if (Upstream* upstream = m_state.upstreams.Find(event.upstream)) {
       upstream->loading = event.loading;
@@ -136,6 +137,9 @@
     m_effects.emplace_back(
         LogDecision{event, request.arrival.caller_id, std::move(fields)});
   }
+  void Log(std::string_view event, std::vector<DecisionField> fields) {
+    m_effects.emplace_back(LogDecision{event, "", std::move(fields)});
+  }
   void LogPlacement(const Request& request,
                     const Placement& placement,
                     std::string_view event,
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <ranges>
 #include <set>
+#include <utility>
 
 namespace jasminehatch::forwarding {
 namespace {
@@ -50,6 +51,7 @@
   }
   auto upstream = std::make_unique<Upstream>();
   upstream->entry = entry;
+  upstream->notice = m_removed_notices.Take(entry.id, entry.started_at);
   m_by_service[entry.service].push_back(upstream.get());
   m_upstreams.emplace(entry.id, std::move(upstream));
 }
@@ -59,7 +61,11 @@
   if (found == m_upstreams.end()) {
     return;
   }
-  std::erase(m_by_service[found->second->entry.service], found->second.get());
+  const Upstream& upstream = *found->second;
+  if (upstream.notice != UpstreamNotice{}) {
+    m_removed_notices.Store(id, upstream.entry.started_at, upstream.notice);
+  }
+  std::erase(m_by_service[upstream.entry.service], &upstream);
   m_upstreams.erase(found);
 }
 
@@ -149,6 +155,23 @@
   version = published && published->version > version ? published->version : 0;
 }
 
+bool UpstreamDirectory::OnLeaving(const UpstreamLeaving& event) {
+  Upstream* upstream = Find(event.upstream);
+  if (upstream == nullptr) {
+    if (event.started_at) {
+      UpstreamNotice notice =
+          m_removed_notices.Take(event.upstream, *event.started_at);
+      notice.leaving = true;
+      m_removed_notices.Store(event.upstream, *event.started_at, notice);
+    }
+    return false;
+  }
+  if (event.started_at && *event.started_at != upstream->entry.started_at) {
+    return false;
+  }
+  return !std::exchange(upstream->notice.leaving, true);
+}
+
 Upstream* UpstreamDirectory::Find(const std::string& id) {
   const auto found = m_upstreams.find(id);
   return found == m_upstreams.end() ? nullptr : found->second.get();
@@ -170,7 +193,7 @@
 
 bool UpstreamDirectory::IsUsable(const Upstream& upstream,
                                  MonotonicTime now) const {
-  if (upstream.entry.draining) {
+  if (upstream.entry.draining || upstream.notice.leaving) {
     return false;
   }
   return !upstream.removed_at ||
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -223,6 +223,93 @@
   CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/once/"))));
 }
 
+// Guards against new requests and retries for an upstream whose response said
+// that it is leaving, and against connections to it that stay open.
+TEST(ForwardingStep, SendsNothingToUpstreamsThatSaidTheyAreLeaving) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  fixture.AddUpstream("u2", "desk");
+  const StartAttempt first = OnlyStart(fixture.Send("/again/"));
+  const auto effects =
+      fixture.Apply(UpstreamLeaving{first.upstream, first.started_at});
+  UNSIGNED_LONGS_EQUAL(1, EffectsOf<CloseIdleConnections>(effects).size());
+  // The attempt in progress is not cancelled, and its connection is closed.
+  CHECK(EffectsOf<CancelAttempt>(effects).empty());
+  const auto retried = fixture.End(AttemptOutcome::kErrorResponse);
+  UNSIGNED_LONGS_EQUAL(1, EffectsOf<CloseIdleConnections>(retried).size());
+  const std::string other = OnlyStart(retried).upstream;
+  CHECK(other != first.upstream);
+  for (int i = 0; i < 10; ++i) {
+    STRCMP_EQUAL(other.c_str(),
+                 OnlyStart(fixture.Send("/once/")).upstream.c_str());
+  }
+  fixture.Apply(UpstreamLeaving{other, 0});
+  const RefuseRequest refusal = OnlyRefusal(fixture.Send("/once/"));
+  CHECK(Is(RefusalCode::kNoUpstream, refusal));
+  CHECK(refusal.verdict == Verdict::kNotRun);
+}
+
+// Guards against a registry that lags behind and makes a leaving upstream
+// usable again, also after its entry was missing for a while.
+TEST(ForwardingStep, RegistryEntriesOfTheSameProcessDoNotUndoLeaving) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  const StartAttempt start = OnlyStart(fixture.Send("/once/"));
+  UpstreamEntry entry = fixture.CurrentState().upstreams.Find("u1")->entry;
+  const auto is_refused = [&] {
+    return Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/once/")));
+  };
+  fixture.Apply(UpstreamLeaving{"u1", start.started_at});
+  ++entry.orders_accepted;
+  fixture.Apply(UpstreamRegistered{entry});
+  CHECK(is_refused());
+  fixture.Apply(UpstreamsListed{{entry}});
+  CHECK(is_refused());
+  fixture.Apply(UpstreamRemoved{"u1"});
+  fixture.Apply(UpstreamRegistered{entry});
+  CHECK(is_refused());
+  fixture.Apply(UpstreamsListed{});
+  fixture.Apply(UpstreamsListed{{entry}});
+  CHECK(is_refused());
+  // At another address it is still the same process.
+  entry.address = "10.0.0.2:80";
+  fixture.Apply(UpstreamRegistered{entry});
+  CHECK(is_refused());
+}
+
+// Guards against a notice that is lost because the upstream's entry was removed
+// from the registry before the response arrived.
+TEST(ForwardingStep, LeavingIsRememberedWhileTheEntryIsMissing) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  const UpstreamEntry entry =
+      fixture.CurrentState().upstreams.Find("u1")->entry;
+  fixture.Apply(UpstreamRemoved{"u1"});
+  fixture.Apply(UpstreamLeaving{"u1", entry.started_at});
+  fixture.Apply(UpstreamRegistered{entry});
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/once/"))));
+}
+
+// Guards against a restarted upstream that stays excluded because its earlier
+// process was leaving, or because a late response of that process says so.
+TEST(ForwardingStep, ARestartEndsLeaving) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  UpstreamEntry entry = fixture.CurrentState().upstreams.Find("u1")->entry;
+  const std::uint64_t earlier_start = entry.started_at;
+  fixture.Apply(UpstreamLeaving{"u1", earlier_start});
+  ++entry.started_at;
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyStart(fixture.Send("/once/"));
+  fixture.Apply(UpstreamLeaving{"u1", earlier_start});
+  OnlyStart(fixture.Send("/once/"));
+  fixture.Apply(UpstreamLeaving{"u1", entry.started_at});
+  fixture.Apply(UpstreamRemoved{"u1"});
+  ++entry.started_at;
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyStart(fixture.Send("/once/"));
+}
+
 // Guards against a registry outage that removes all upstreams, and against
 // removed upstreams that stay in use after the grace period.
 TEST(ForwardingStep, KeepsRemovedUpstreamsForAGracePeriodAfterAnOutage) {
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -110,6 +110,25 @@
   CHECK_FALSE(suspects.Record({9999, 1}, now));
 }
 
+// Guards against memory that grows with each upstream that leaves, and against
+// a notice that is given to another process.
+TEST(ForwardingStructures, NoticesOfRemovedUpstreamsAreBounded) {
+  RemovedUpstreamNotices notices;
+  const UpstreamNotice leaving{.leaving = true};
+  const std::size_t count = RemovedUpstreamNotices::kMaxNotices + 10;
+  for (std::size_t i = 0; i < count; ++i) {
+    notices.Store("u" + std::to_string(i), 1, leaving);
+    notices.Store("u" + std::to_string(i), 2, leaving);
+  }
+  UNSIGNED_LONGS_EQUAL(RemovedUpstreamNotices::kMaxNotices, notices.Size());
+  CHECK_FALSE(notices.Take("u0", 2).leaving);
+  const std::string newest = "u" + std::to_string(count - 1);
+  CHECK(notices.Take(newest, 2).leaving);
+  CHECK_FALSE(notices.Take(newest, 2).leaving);
+  CHECK_FALSE(notices.Take("u" + std::to_string(count - 2), 1).leaving);
+  UNSIGNED_LONGS_EQUAL(RemovedUpstreamNotices::kMaxNotices - 2, notices.Size());
+}
+
 // Guards against an allowance that is never restored.
 TEST(ForwardingStructures, TheRetryAllowanceUsesASlidingWindow) {
   Options options;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -80,6 +80,7 @@
     std::string model;
     AttemptId attempt;
     std::string upstream;
+    std::uint64_t upstream_started_at = 0;
     forwarding::RouteKind route_kind = forwarding::RouteKind::kNonIdempotent;
     std::uint64_t call_id = 0;
     net::StreamHead head;
@@ -97,6 +98,7 @@
 
   void Execute(const forwarding::StartAttempt& effect);
   void Execute(const forwarding::CancelAttempt& effect);
+  void Execute(const forwarding::CloseIdleConnections& effect);
   void Execute(const forwarding::DeliverResponse& effect);
   void Execute(const forwarding::RefuseRequest& effect);
   void Execute(const forwarding::ShareCrashReport& effect);
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -89,9 +89,14 @@
   struct Target {
     std::string upstream;
     std::string address;
+    std::uint64_t started_at = 0;  ///< Start of the upstream's process.
     std::string model;
     std::uint64_t current = 0;  ///< 0 when unknown.
     std::uint64_t wanted = 0;
+
+    platform::EngineProcess Process() const {
+      return {upstream, address, started_at};
+    }
   };
 
   /// The last report of an upstream.
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -226,6 +226,8 @@
                             DecisionLogField{"zone", settings.zone}};
     m_log.Write(DecisionLog::Level::kState, "started", fields);
     Listen(loop);
+    m_engines.SetNoticeCallback(
+        [this](const forwarding::Event& notice) { m_host.Apply(notice); });
     m_configuration.Start();
     m_registry.Start();
     StartGossip(incarnation);
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -160,6 +160,7 @@
   ActiveRequest& active = found->second;
   active.attempt = effect.attempt;
   active.upstream = effect.upstream;
+  active.upstream_started_at = effect.started_at;
   active.route_kind = effect.route_kind;
   active.head = {};
   active.metadata = {};
@@ -205,6 +206,10 @@
   const std::string upstream = active->upstream;
   const std::string model = active->model;
   const auto weights = active->metadata.weight_version;
+  // A response to another request, which a faulty upstream may repeat later, is
+  // no evidence; it was rejected above.
+  const auto leaving = platform::DecodeLeaving(active->head.headers, upstream,
+                                               active->upstream_started_at);
   if (active->metadata.load) {
     auto load = *active->metadata.load;
     load.upstream = upstream;
@@ -213,6 +218,9 @@
   if (weights && !model.empty()) {
     Apply(forwarding::WeightsObserved{upstream, model, *weights});
   }
+  if (leaving) {
+    Apply(*leaving);
+  }
 }
 
 void ForwardingHost::OnData(RequestId id,
@@ -378,6 +386,10 @@
   }
 }
 
+void ForwardingHost::Execute(const forwarding::CloseIdleConnections& effect) {
+  m_client.CloseIdleConnections(effect.address);
+}
+
 void ForwardingHost::LogResponse(const ActiveRequest& active) {
   const auto elapsed_ms = [&](MonotonicTime at) {
     return std::to_string((at - active.received_at) /
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -130,7 +130,7 @@
       }
       targets.emplace(
           id + "/" + model,
-          Target{id, upstream->entry.address, model,
+          Target{id, upstream->entry.address, upstream->entry.started_at, model,
                  upstream->WeightVersion(model), versions.back().version});
     }
   }
@@ -312,9 +312,9 @@
   Report& report = m_reports[key];
   report.query_pending = true;
   report.queried_at = m_clock.Now();
-  m_engines.Query(
-      target.upstream, target.address,
-      [this, key](const auto& response) { OnReport(key, response); });
+  m_engines.Query(target.Process(), [this, key](const auto& response) {
+    OnReport(key, response);
+  });
 }
 
 void WeightsRollout::OnReport(
@@ -467,8 +467,7 @@
     return;
   }
   platform::WeightsOrder order;
-  order.upstream = target->second.upstream;
-  order.address = target->second.address;
+  order.engine = target->second.Process();
   order.model = target->second.model;
   order.version = target->second.wanted;
   // Engines that finish their runs first accept no new ones for seconds, which
@@ -478,7 +477,7 @@
   // Upstreams that do not check the fencing token still require one.
   order.fence = m_lease.groups.at(kLeaseGroup).offset;
   order.orders_accepted = effect.orders_accepted;
-  const std::array fields{DecisionLogField{"upstream", order.upstream},
+  const std::array fields{DecisionLogField{"upstream", order.engine.upstream},
                           DecisionLogField{"version", effect.value}};
   m_log.Write(DecisionLog::Level::kState, "weights_ordered", fields);
   StepRollout(rollout::LoadOrdered{effect.upstream});
--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -9,7 +9,9 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -396,6 +398,64 @@
   UNSIGNED_LONGS_EQUAL(before, fixture.Upstream(0).Ran().size());
 }
 
+// Guards against new requests and retries for an upstream that said in a
+// response, of any kind, that it is leaving while the registry still lists it.
+TEST(ForwarderPath, AnUpstreamThatSaysItIsLeavingGetsNoNewRequests) {
+  using Kind = UpstreamResponse::Kind;
+  for (const auto& [kind, status, path] :
+       {std::tuple{Kind::kRespond, 200, "/once/x"},
+        std::tuple{Kind::kRespond, 404, "/once/x"},
+        std::tuple{Kind::kRespond, 500, "/again/x"},
+        std::tuple{Kind::kNotRun, 503, "/once/x"},
+        std::tuple{Kind::kBreak, 200, "/again/x"},
+        std::tuple{Kind::kStream, 200, "/stream/x"}}) {
+    ForwarderFixture fixture;
+    CHECK(fixture.WaitUntilReady());
+    std::vector<std::size_t> arrivals(2);
+    std::optional<std::size_t> leaving;
+    for (std::size_t i = 0; i < arrivals.size(); ++i) {
+      fixture.Upstream(i).SetBehaviour(
+          [&, i, kind = kind, status = status](const auto&) {
+            ++arrivals[i];
+            UpstreamResponse response;
+            if (leaving.value_or(i) == i) {
+              leaving = i;
+              response.kind = kind;
+              response.status = status;
+              response.headers = {{"Server-Leaving", "1"}};
+              response.events = {"id: 1\ndata: a\n\n"};
+            }
+            return response;
+          });
+    }
+    const Response first = fixture.Send(path);
+    for (int i = 0; i < 10; ++i) {
+      fixture.Register(fixture.Upstream(*leaving), false);
+      LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
+    }
+    UNSIGNED_LONGS_EQUAL(1, arrivals[*leaving]);
+    STRCMP_EQUAL("", first.Header("Server-Leaving").c_str());
+  }
+}
+
+// Guards against an upstream that is excluded because a faulty one repeated a
+// response to another request.
+TEST(ForwarderPath, AResponseToAnotherRequestGivesNoNotice) {
+  ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  fixture.SetBehaviour([](const auto&) {
+    UpstreamResponse response;
+    response.wrong_id = true;
+    response.headers = {{"Server-Leaving", "1"}};
+    return response;
+  });
+  for (int i = 0; i < 2; ++i) {
+    LONGS_EQUAL(502, fixture.Send("/once/x").head.status);
+  }
+  fixture.SetBehaviour([](const auto&) { return UpstreamResponse{}; });
+  LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
+}
+
 // Guards against a planned stop that aborts a request in progress.
 TEST(ForwarderPath, StopFinishesRequestsInProgress) {
   ForwarderFixture fixture;
--- a/packages/emulator/include/jasminehatch/detail/emulator/upstream_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/upstream_emulator.h
@@ -35,6 +35,7 @@
     bool truncated = false;  ///< The stream breaks off after its events.
     bool wrong_id = false;   ///< The response has the id of another request.
     bool without_signature = false;
+    net::HttpHeaders headers;  ///< Sent in addition.
   };
   using Behaviour = std::function<Response(const net::HttpRequest& request)>;
 
--- a/packages/emulator/src/upstream_emulator.cc
+++ b/packages/emulator/src/upstream_emulator.cc
@@ -54,6 +54,8 @@
   const Response response = m_behaviour(request);
   const std::string id(net::FindHeader(request.headers, "X-Request-Id"));
   net::HttpHeaders headers{{"X-Request-Id", response.wrong_id ? "other" : id}};
+  headers.insert(headers.end(), response.headers.begin(),
+                 response.headers.end());
   if (response.kind == Response::Kind::kNotRun) {
     headers.push_back({"X-Not-Executed", "1"});
     writer->Send(503, headers, "");
