Search published versions without range views

The linter's clang does not accept std::views of the installed standard library, so scripts/lint failed on upstream_directory.cc. No change of behaviour.

--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -249,26 +248,27 @@
     return 0;
   }
   std::optional<std::uint64_t> newest_in_use;
-  for (const PublishedWeights& published : std::views::reverse(found->second)) {
+  const auto is_required = [&](const PublishedWeights& published) {
     const Duration age = now - published.published_by;
     if (age >= options.version_hard_limit) {
-      return published.version;
+      return true;
     }
     if (published.publish_time_known) {
-      continue;
+      return false;
     }
     if (age >= options.found_version_limit) {
-      return published.version;
+      return true;
     }
     // Its limit may have passed before this daemon started.
     if (!newest_in_use) {
       newest_in_use = NewestInUse(model, service);
     }
-    if (published.version <= *newest_in_use) {
-      return published.version;
-    }
-  }
-  return 0;
+    return published.version <= *newest_in_use;
+  };
+  const std::vector<PublishedWeights>& versions = found->second;
+  const auto newest =
+      std::find_if(versions.rbegin(), versions.rend(), is_required);
+  return newest == versions.rend() ? 0 : newest->version;
 }
 
 std::uint64_t UpstreamDirectory::FavoredVersion(const std::string& model,
@@ -278,12 +278,13 @@
   if (found == m_published.end()) {
     return 0;
   }
-  for (const PublishedWeights& published : std::views::reverse(found->second)) {
-    if (now - published.published_by >= options.version_soft_limit) {
-      return published.version;
-    }
-  }
-  return 0;
+  const std::vector<PublishedWeights>& versions = found->second;
+  const auto newest = std::find_if(versions.rbegin(), versions.rend(),
+                                   [&](const PublishedWeights& published) {
+                                     return now - published.published_by >=
+                                            options.version_soft_limit;
+                                   });
+  return newest == versions.rend() ? 0 : newest->version;
 }
 
 std::vector<PublicationAge> UpstreamDirectory::PublicationAges(
@@ -295,14 +296,11 @@
     if (now - versions.back().published_by >= max_newest_age) {
       continue;
     }
-    for (const PublishedWeights& published : std::views::reverse(versions)) {
-      const Duration age = now - published.published_by;
-      ages.push_back(
-          {model, published.version, age, published.publish_time_known});
-      if (age >= required_age) {
-        break;
-      }
-    }
+    auto published = versions.rbegin();
+    do {
+      ages.push_back({model, published->version, now - published->published_by,
+                      published->publish_time_known});
+    } while (ages.back().age < required_age && ++published != versions.rend());
   }
   return ages;
 }
