Send one order per report to upstreams that compare the number of orders

Cause: several orders in one step got consecutive numbers. Only the first one had been reported. The second could arrive after the first order of a successor, which raises the count of the upstream to just that number, and was accepted.

Fix: an upstream that compares the number gets one order per report. Numbers that come from reports alone are at most the number of any accepted order of a successor, so a late order is rejected.

The test failed before:

lease_session_test.cc:194: error: Failure in TEST(LeaseSession, OnlyOneOrderHasTheReportedNumber) but was < ... > order counting: change_role assistant fence none count 7 > order counting: load m2 fence none count 8>

--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -2,12 +2,35 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "jasminehatch/detail/lease/state.h"
 
 namespace jasminehatch::lease {
 namespace {
 
+/// @return the orders from the reported to the desired state
+std::vector<std::pair<OrderKind, std::string>> OrdersBetween(
+    const UpstreamState& reported,
+    const UpstreamState& desired) {
+  std::vector<std::pair<OrderKind, std::string>> orders;
+  if (desired.drained && !reported.drained) {
+    orders.emplace_back(OrderKind::kDrain, "");
+  }
+  if (desired.role != reported.role) {
+    orders.emplace_back(OrderKind::kChangeRole, desired.role);
+  }
+  if (desired.model != reported.model) {
+    orders.emplace_back(
+        desired.model.empty() ? OrderKind::kUnload : OrderKind::kLoad,
+        desired.model);
+  }
+  if (!desired.drained && reported.drained) {
+    orders.emplace_back(OrderKind::kServe, "");
+  }
+  return orders;
+}
+
 /// Applies one event to the state and collects the effects.
 class Reducer {
  public:
@@ -245,32 +268,23 @@
                            const Group& group,
                            const std::string& upstream_name,
                            Upstream& upstream) {
-  std::uint64_t order_count = upstream.orders_accepted.value_or(0);
-  const auto order = [&](OrderKind kind, const std::string& value) {
-    SendOrder effect{name,         upstream_name,    kind,        value,
-                     std::nullopt, group.held_until, std::nullopt};
+  auto orders = OrdersBetween(*upstream.reported, *upstream.desired);
+  if (upstream.checks_order_count) {
+    // A number that no report has told could exceed the number of a
+    // successor's order, and this order could then follow it.
+    orders.resize(1);
+  }
+  for (auto& [kind, value] : orders) {
+    SendOrder effect{
+        name,         upstream_name,    kind,        std::move(value),
+        std::nullopt, group.held_until, std::nullopt};
     if (upstream.checks_fencing) {
       effect.fence = group.offset;
     }
     if (upstream.checks_order_count) {
-      effect.orders_accepted = order_count++;
+      effect.orders_accepted = upstream.orders_accepted;
     }
     m_effects.emplace_back(std::move(effect));
-  };
-  const UpstreamState& desired = *upstream.desired;
-  const UpstreamState& reported = *upstream.reported;
-  if (desired.drained && !reported.drained) {
-    order(OrderKind::kDrain, "");
-  }
-  if (desired.role != reported.role) {
-    order(OrderKind::kChangeRole, desired.role);
-  }
-  if (desired.model != reported.model) {
-    order(desired.model.empty() ? OrderKind::kUnload : OrderKind::kLoad,
-          desired.model);
-  }
-  if (!desired.drained && reported.drained) {
-    order(OrderKind::kServe, "");
   }
   upstream.ordered_at = m_now;
   ScheduleTimer(m_now + m_state.options.order_retry);
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -177,3 +177,22 @@
   Timer("entry-1", 1s);
   CHECK(m_trace.find("held for") == std::string::npos);
 }
+
+// Guards against an order whose number no report has told: it could arrive
+// after an order of a successor and be accepted.
+TEST(LeaseSession, OnlyOneOrderHasTheReportedNumber) {
+  m_states["entry-1"].self = {"entry-1", 1};
+  Send("entry-1", "starts",
+       lease::UpstreamConfigured{"group", "counting", false, true});
+  Send("entry-1", "counting is to load m2 as an assistant",
+       lease::DesiredChanged{"group", "counting", {"m2", "assistant", false}});
+  Read("entry-1");
+  Read("entry-1");
+  m_trace.clear();
+  Send("entry-1", "counting reports m1 and 7 orders",
+       lease::StateReported{"group", "counting", {"m1", "", false}, 7});
+  STRCMP_EQUAL(
+      "0ms entry-1 < counting reports m1 and 7 orders\n"
+      "    > order counting: change_role assistant fence none count 7\n",
+      m_trace.c_str());
+}
