Send a request to the same address again only on a new connection

Cause: a request goes to an upstream only once, but two registered upstreams may have one address, as after a restart under a new id: the first answers 421, and the request is sent to the second on the connection that was kept. A refusal that is written once more has the id of this very request and was taken for the response to the second attempt.

Fix: an attempt at an address that the request was sent to before uses a new connection, on which no earlier response can arrive. Other requests keep reusing connections.

--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -83,6 +83,7 @@
     std::uint64_t upstream_started_at = 0;
     forwarding::RouteKind route_kind = forwarding::RouteKind::kNonIdempotent;
     std::uint64_t call_id = 0;
+    std::vector<std::string> sent_to;  ///< Addresses of the attempts so far.
     net::StreamHead head;
     platform::UpstreamResponseHead metadata;
     std::string body;
@@ -92,7 +93,7 @@
     /// When the head and the first event were forwarded.
     MonotonicTime first_event_at{};
     MonotonicTime last_event_at{};
-    bool streaming = false;  ///< The response is forwarded event by event.
+    bool streaming = false;       ///< The response is forwarded event by event.
     bool head_sent = false;  ///< The response's head was sent to the caller.
   };
 
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -169,6 +169,12 @@
   active.streaming = false;
   auto call = platform::EncodeAttempt(active.exchange->Request(), effect,
                                       m_clock.Now());
+  // An upstream may write a refusal once more on a kept connection. The id does
+  // not tell it from the response to the same request, sent there again.
+  call.fresh_connection =
+      std::find(active.sent_to.begin(), active.sent_to.end(), effect.address) !=
+      active.sent_to.end();
+  active.sent_to.push_back(effect.address);
   const RequestId id = effect.request;
   const AttemptId attempt = effect.attempt;
   net::StreamClient::Callbacks callbacks;
--- a/packages/net/include/jasminehatch/detail/stream/stream_client.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_client.h
@@ -25,6 +25,7 @@
   HttpHeaders headers;  ///< Without those that frame the body.
   std::string body;
   std::chrono::milliseconds total_timeout{0};  ///< From the start; 0 for none.
+  bool fresh_connection = false;               ///< Use no idle connection.
 };
 
 /// @brief The head of a response.
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -164,7 +164,9 @@
       }
     });
   }
-  if (auto idle = TakeIdle(call->request.address)) {
+  auto idle = call->request.fresh_connection ? nullptr
+                                             : TakeIdle(call->request.address);
+  if (idle) {
     call->connection = std::move(idle);
     call->connection->call_id = id;
     SendRequest(call);
