Use a new connection for each prompt and service call of the product's interface

Cause: UpstreamAttempt reused connections and did not compare ids. Upstreams of the product's own interface need not repeat the request's id, so that the refusal, or any response of another caller, could not be told from the response to the next request. libcurl drops a connection on which bytes arrived while it was idle, but not one on which they arrive after the next request was written.

Evidence, on the code before: upstream_attempt_test.cc:86: Failure in TEST(UpstreamAttempt, ARepeatedRefusalDoesNotRefuseTheNextRequest) CHECK(Attempt(loop, client, server.Address(), kind) == AttemptResult::kComplete) failed

Fix: as for bookings and weight orders, each call has a connection of its own, which also keeps libcurl from sending it again by itself. The cost, one connect for each call, was not measured.

--- a/packages/daemon/src/upstream_attempt.cc
+++ b/packages/daemon/src/upstream_attempt.cc
@@ -80,6 +80,9 @@
   m_client.Cancel(m_call_id);
 }
 
+// Upstreams of the product's own interface need not repeat the request's id, so
+// that on a kept connection a response that an upstream writes once more could
+// not be told from the response to the next request.
 void UpstreamAttempt::StartPrompt(const Caller& caller,
                                   const std::string& base_url) {
   m_is_chat = caller.completion->chat;
@@ -99,6 +102,7 @@
   call.headers = {{"Content-Type", "application/json"},
                   {"X-Request-Id", caller.request_id}};
   call.body = codec::BuildEngineBody(*caller.completion, fields);
+  call.fresh_connection = true;
   m_call_id = m_client.Start(
       std::move(call),
       [this](const net::HttpResult& result) { OnDone(result); },
@@ -114,6 +118,7 @@
     call.url += "?" + caller.service_request.query;
   }
   call.body = caller.service_request.body;
+  call.fresh_connection = true;
   call.headers = {{"X-Request-Id", caller.request_id},
                   {"X-Workspace", caller.workspace}};
   for (const std::string_view name : {"Content-Type", "Accept"}) {
