Reject a response head that another response's head continues

Cause: where a head is cut inside a header's value, the status line of the next response becomes a part of that value, and its headers and body follow as if they belonged to the success. The first of two ids was compared, and X-Not-Executed was read only for errors.

Evidence: a test cuts a success at each byte of its head and continues it with each of four refusals, with the id of an earlier request and without an id. On the code before: wire_faults_test.cc:302: Failure in TEST(WireFaults, AHeadContinuedByARepeatedRefusalIsNoResponse) Message: 503 Service Unavailable at byte 64 expected <502 (0x1f6)> but was <200 (0xc8)> The other positions were rejected: the status line is no valid header name, length or status, or the id differs.

Where the cut is in the body, the bytes cannot be told from it.

--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -348,7 +348,7 @@
   }
   if (status / 100 == 2) {
     const bool truncated = active.splitter.PendingBytes() > 0;
-    return metadata.is_signed_and_unencoded && !truncated
+    return metadata.is_signed_and_unencoded && !metadata.not_run && !truncated
                ? AttemptOutcome::kCompleted
                : AttemptOutcome::kInvalidResponse;
   }
--- a/packages/daemon/tests/wire_faults_test.cc
+++ b/packages/daemon/tests/wire_faults_test.cc
@@ -276,3 +276,26 @@
     LONGS_EQUAL_TEXT(200, response.head.status, std::string(status).c_str());
   }
 }
+
+// Guards against a response whose head is cut short and continued by a refusal
+// that is written once more: a success with the refusal's body (MIXED), or a
+// refusal of a request that runs (REFUSED).
+TEST(WireFaults, AHeadContinuedByARepeatedRefusalIsNoResponse) {
+  WireFaultFixture fixture(1);
+  fixture.AwaitReady();
+  for (const std::string_view status : kRefusals) {
+    for (const bool has_id : {true, false}) {
+      // From the end of its head on, bytes fill the body of the response.
+      const std::size_t end = MakeSuccess("request-1").find("\r\n\r\n") + 4;
+      for (std::size_t cut = 0; cut < end; ++cut) {
+        fixture.SetScript([&](const Request& request) {
+          return Reply{MakeSuccess(IdOf(request)).substr(0, cut) +
+                           MakeRefusal(status, has_id ? "request-0" : ""),
+                       After::kClose};
+        });
+        LONGS_EQUAL_TEXT(502, fixture.Send("/once/x").head.status,
+                         Describe(status, cut).c_str());
+      }
+    }
+  }
+}
