Keep the pause that an upstream asks for with a rejection

What callers saw: requests were sent again and again, as retries and at last resort, to an upstream that had rejected one with 503 and Retry-After and wanted none for that time; each such send delays its caller and takes from the allowance of retries. Where all upstreams had done so, callers were told to return after 0.25 to 0.5 s, long before one accepts requests.

Cause: the decoder of responses reads no Retry-After. After each rejection the upstream is avoided for 100 ms, and even then used if no other one is left.

Fix: a positive number of seconds is kept as a notice of the process, next to the notice of leaving. Until then the upstream is no candidate, whatever the service and the request. A shorter pause, a response or an entry of the same process does not end it. A restart ends it, unless it was requested within the last 3 s before the new entry is read: it may then be of the new process. If all upstreams that can run a request pause, it is refused at once (overloaded, not_run) with the time until the first one is back, plus up to 0.25 s at random.

Failed before (the parent commit with these tests):

forwarder_path_test.cc:506: error: Failure in TEST(ForwarderPath, RefusesAtOnceWhileAllUpstreamsPause) CHECK(std::stod(refused.Header("Retry-After")) > 10) failed forwarder_path_test.cc:487: error: Failure in TEST(ForwarderPath, AnUpstreamThatAskedForAPauseGetsNothingMeanwhile) expected < 0 (0x0)> but was <61 (0x3d)>

--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -149,6 +149,14 @@
   std::optional<std::uint64_t> started_at;
 };
 
+/// An upstream rejected a request and asked for no further ones for some time.
+struct UpstreamPauseRequested {
+  std::string upstream;
+  /// `UpstreamEntry::started_at` when the request was sent.
+  std::uint64_t started_at = 0;
+  Duration pause{};
+};
+
 /// An upstream started or finished loading weights; it accepts no requests
 /// meanwhile.
 struct UpstreamLoading {
@@ -207,6 +215,7 @@
                            LoadObserved,
                            WeightsObserved,
                            UpstreamLeaving,
+                           UpstreamPauseRequested,
                            UpstreamLoading,
                            AttemptEnded,
                            CacheListed,
--- a/packages/core/include/jasminehatch/detail/forwarding/placement.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/placement.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_FORWARDING_PLACEMENT_H_
 
 #include <cstddef>
+#include <optional>
 
 #include "jasminehatch/detail/base/time.h"
 
@@ -43,6 +44,12 @@
                          const Request& request,
                          MonotonicTime now);
 
+/// @return if all upstreams that can run the request asked for no requests for
+/// some time, when the first of these times ends
+std::optional<MonotonicTime> PauseEnd(State& state,
+                                      const Request& request,
+                                      MonotonicTime now);
+
 }  // namespace jasminehatch::forwarding
 
 #endif  // JASMINEHATCH_DETAIL_FORWARDING_PLACEMENT_H_
--- a/packages/core/include/jasminehatch/detail/forwarding/removed_upstream_notices.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/removed_upstream_notices.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <string>
 
+#include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/upstream.h"
 
 namespace jasminehatch::forwarding {
@@ -24,8 +25,11 @@
              const UpstreamNotice& notice);
 
   /// Removes the notice stored under an id.
-  /// @return the notice if it is of the same process, otherwise an empty one
-  UpstreamNotice Take(const std::string& id, std::uint64_t started_at);
+  /// @return the notice if it is of the same process, otherwise what of it
+  /// holds after a restart; empty if none is stored
+  UpstreamNotice Take(const std::string& id,
+                      std::uint64_t started_at,
+                      MonotonicTime now);
 
   std::size_t Size() const { return m_notices.size(); }
 
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -16,6 +16,20 @@
 /// The registry may lag behind it.
 struct UpstreamNotice {
   bool leaving = false;  ///< It accepts no new requests until it exits.
+  /// It asked for no requests until then.
+  std::optional<MonotonicTime> pause_until;
+  MonotonicTime pause_requested_at{};  ///< When the latest pause was asked for.
+
+  /// @return what of the notice holds for a process of the same id that is
+  /// first seen at `now` with another start
+  UpstreamNotice AfterRestart(MonotonicTime now) const;
+
+  /// Extends the pause; a shorter one does not end a longer one early.
+  void ExtendPause(Duration pause, MonotonicTime now);
+
+  bool PausesAt(MonotonicTime now) const {
+    return pause_until && now < *pause_until;
+  }
 
   friend bool operator==(const UpstreamNotice&,
                          const UpstreamNotice&) = default;
@@ -29,7 +43,8 @@
       removed_at;        ///< Time of removal from the registry.
   bool loading = false;  ///< It is loading weights.
 
-  /// Set after it rejected a request because it was full or loading weights.
+  /// Not used until then, unless there is no other upstream; set after it
+  /// rejected a request because it was full or loading weights.
   std::optional<MonotonicTime> paused_until;
 
   std::uint32_t in_flight = 0;  ///< Running attempts of this daemon.
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -32,7 +32,7 @@
     bool publish_time_known = true;
   };
 
-  void Register(const UpstreamEntry& entry);
+  void Register(const UpstreamEntry& entry, MonotonicTime now);
 
   /// Removes an upstream; shortly after an outage of the registry, it stays in
   /// use until the grace period has passed.
@@ -60,7 +60,11 @@
   /// Records that a process said that it is leaving. No registry entry of the
   /// same process undoes it.
   /// @return whether this is new and of the registered process
-  bool OnLeaving(const UpstreamLeaving& event);
+  bool OnLeaving(const UpstreamLeaving& event, MonotonicTime now);
+
+  /// Records that an upstream asked for no requests for some time.
+  /// @return whether it did not pause already
+  bool OnPauseRequested(const UpstreamPauseRequested& event, MonotonicTime now);
 
   /// @return the upstream, or null
   Upstream* Find(const std::string& id);
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -49,6 +49,12 @@
     return;
   }
   const Placement placement = ChooseUpstream(m_state, request, m_now);
+  if (placement.upstream == nullptr && PauseEnd(m_state, request, m_now)) {
+    Refuse(request, RefusalCode::kOverloaded,
+           "all upstreams of service " + request.service +
+               " asked for no requests for some time");
+    return;
+  }
   if (placement.upstream == nullptr) {
     Refuse(request, RefusalCode::kNoUpstream,
            "no upstream of service " + request.service + " can be used");
@@ -197,7 +203,7 @@
 }
 
 void Reducer::Apply(const UpstreamLeaving& event) {
-  if (!m_state.upstreams.OnLeaving(event)) {
+  if (!m_state.upstreams.OnLeaving(event, m_now)) {
     return;
   }
   m_effects.emplace_back(CountEvent{Counter::kUpstreamLeaving});
@@ -206,6 +212,15 @@
   Log("upstream_leaving", {{"upstream", event.upstream}});
 }
 
+void Reducer::Apply(const UpstreamPauseRequested& event) {
+  if (!m_state.upstreams.OnPauseRequested(event, m_now)) {
+    return;
+  }
+  m_effects.emplace_back(CountEvent{Counter::kUpstreamPaused});
+  Log("upstream_paused",
+      {{"upstream", event.upstream}, {"pause_ms", Milliseconds(event.pause)}});
+}
+
 void Reducer::Apply(const ResponseStarted& event) {
   Request* request = Find(event.request);
   if (request == nullptr || !request->attempt ||
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -1,6 +1,7 @@
 #include "jasminehatch/detail/forwarding/placement.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include "jasminehatch/detail/forwarding/stable_hash.h"
@@ -86,6 +87,22 @@
     return placement;
   }
 
+  std::optional<MonotonicTime> PauseEnd() const {
+    std::optional<MonotonicTime> end;
+    for (const Upstream* upstream :
+         m_state.upstreams.OfService(m_request.service)) {
+      if (!CanRun(*upstream)) {
+        continue;
+      }
+      if (!upstream->notice.PausesAt(m_now)) {
+        return std::nullopt;
+      }
+      const MonotonicTime upstream_end = *upstream->notice.pause_until;
+      end = std::min(end.value_or(upstream_end), upstream_end);
+    }
+    return end;
+  }
+
  private:
   /// @brief An upstream and its inputs to the choice.
   struct Candidate {
@@ -97,7 +114,8 @@
 
   /// Collects the upstreams that can run the request.
   /// @param include_excluded whether to include upstreams that are suspended
-  /// after failures or paused after a rejection
+  /// after failures or paused after a rejection; never those that asked for a
+  /// pause
   void Collect(bool include_excluded) {
     for (Upstream* upstream : m_state.upstreams.OfService(m_request.service)) {
       if (IsEligible(*upstream) &&
@@ -153,10 +171,16 @@
   }
 
   bool IsEligible(const Upstream& upstream) const {
-    if (!m_state.upstreams.IsUsable(upstream, m_now) || upstream.loading ||
-        std::find(m_request.tried_upstreams.begin(),
-                  m_request.tried_upstreams.end(),
-                  upstream.entry.id) != m_request.tried_upstreams.end()) {
+    const auto& tried = m_request.tried_upstreams;
+    return !upstream.notice.PausesAt(m_now) &&
+           std::find(tried.begin(), tried.end(), upstream.entry.id) ==
+               tried.end() &&
+           CanRun(upstream);
+  }
+
+  /// @return whether the upstream could run the request if it accepted it
+  bool CanRun(const Upstream& upstream) const {
+    if (!m_state.upstreams.IsUsable(upstream, m_now) || upstream.loading) {
       return false;
     }
     if (!m_request.arrival.prompt) {
@@ -259,4 +283,10 @@
   return UpstreamChooser(state, request, now).Choose();
 }
 
+std::optional<MonotonicTime> PauseEnd(State& state,
+                                      const Request& request,
+                                      MonotonicTime now) {
+  return UpstreamChooser(state, request, now).PauseEnd();
+}
+
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -33,7 +33,7 @@
     }
   }
   void Apply(const UpstreamRegistered& event) {
-    m_state.upstreams.Register(event.entry);
+    m_state.upstreams.Register(event.entry, m_now);
   }
   void Apply(const UpstreamRemoved& event) {
     m_state.upstreams.Remove(event.id, m_now);
@@ -63,6 +63,7 @@
     m_state.upstreams.OnWeightsObserved(event);
   }
   void Apply(const UpstreamLeaving& event);
+  void Apply(const UpstreamPauseRequested& event);
   void Apply(const UpstreamLoading& event) {
     if (Upstream* upstream = m_state.upstreams.Find(event.upstream)) {
       upstream->loading = event.loading;
--- a/packages/core/src/forwarding/removed_upstream_notices.cc
+++ b/packages/core/src/forwarding/removed_upstream_notices.cc
@@ -15,7 +15,8 @@
 }
 
 UpstreamNotice RemovedUpstreamNotices::Take(const std::string& id,
-                                            std::uint64_t started_at) {
+                                            std::uint64_t started_at,
+                                            MonotonicTime now) {
   const auto found =
       std::find_if(m_notices.begin(), m_notices.end(),
                    [&](const auto& removed) { return removed.id == id; });
@@ -24,7 +25,8 @@
   }
   const RemovedUpstream removed = *found;
   m_notices.erase(found);
-  return removed.started_at == started_at ? removed.notice : UpstreamNotice{};
+  return removed.started_at == started_at ? removed.notice
+                                          : removed.notice.AfterRestart(now);
 }
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -167,7 +167,9 @@
   const Duration base = m_state.options.retry_after;
   const auto permille =
       static_cast<Duration::rep>(request.arrival.random % 1000);
-  return base + Duration(base.count() / 1000 * permille);
+  const Duration jitter(base.count() / 1000 * permille);
+  const auto pause_end = PauseEnd(m_state, request, m_now);
+  return std::max(base, pause_end.value_or(m_now) - m_now) + jitter;
 }
 
 void Reducer::Refuse(Request& request, RefusalCode code, std::string detail) {
--- a/packages/core/src/forwarding/upstream.cc
+++ b/packages/core/src/forwarding/upstream.cc
@@ -1,5 +1,8 @@
 #include "jasminehatch/detail/forwarding/upstream.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace jasminehatch::forwarding {
 namespace {
 
@@ -9,8 +12,27 @@
 /// Consecutive failures after which a reachable upstream is suspended.
 constexpr std::uint32_t kFailureLimit = 3;
 
+/// A restarted upstream may serve requests for this long before this daemon
+/// reads its new registry entry.
+constexpr std::chrono::seconds kMaxRegistrationDelay{3};
+
 }  // namespace
 
+UpstreamNotice UpstreamNotice::AfterRestart(MonotonicTime now) const {
+  UpstreamNotice notice;
+  // A recent request for a pause may be of the new process.
+  if (now - pause_requested_at < kMaxRegistrationDelay) {
+    notice.pause_until = pause_until;
+    notice.pause_requested_at = pause_requested_at;
+  }
+  return notice;
+}
+
+void UpstreamNotice::ExtendPause(Duration pause, MonotonicTime now) {
+  pause_until = std::max(pause_until.value_or(now), now + pause);
+  pause_requested_at = now;
+}
+
 void Upstream::RecordSuccess() {
   consecutive_failures = 0;
   suspended_until.reset();
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -32,7 +32,8 @@
   return model + "/" + std::to_string(version) + "/";
 }
 
-void UpstreamDirectory::Register(const UpstreamEntry& entry) {
+void UpstreamDirectory::Register(const UpstreamEntry& entry,
+                                 MonotonicTime now) {
   if (Upstream* known = Find(entry.id)) {
     if (known->entry.started_at == entry.started_at &&
         known->entry.service == entry.service &&
@@ -50,7 +51,7 @@
   }
   auto upstream = std::make_unique<Upstream>();
   upstream->entry = entry;
-  upstream->notice = m_removed_notices.Take(entry.id, entry.started_at);
+  upstream->notice = m_removed_notices.Take(entry.id, entry.started_at, now);
   m_by_service[entry.service].push_back(upstream.get());
   m_upstreams.emplace(entry.id, std::move(upstream));
 }
@@ -85,7 +86,7 @@
   std::set<std::string> listed;
   for (const UpstreamEntry& entry : entries) {
     listed.insert(entry.id);
-    Register(entry);
+    Register(entry, now);
   }
   std::vector<std::string> removed;
   for (const auto& [id, upstream] : m_upstreams) {
@@ -154,12 +155,28 @@
   version = published && published->version > version ? published->version : 0;
 }
 
-bool UpstreamDirectory::OnLeaving(const UpstreamLeaving& event) {
+bool UpstreamDirectory::OnPauseRequested(const UpstreamPauseRequested& event,
+                                         MonotonicTime now) {
+  Upstream* upstream = Find(event.upstream);
+  if (upstream == nullptr) {
+    UpstreamNotice notice =
+        m_removed_notices.Take(event.upstream, event.started_at, now);
+    notice.ExtendPause(event.pause, now);
+    m_removed_notices.Store(event.upstream, event.started_at, notice);
+    return false;
+  }
+  const bool paused_before = upstream->notice.PausesAt(now);
+  upstream->notice.ExtendPause(event.pause, now);
+  return !paused_before;
+}
+
+bool UpstreamDirectory::OnLeaving(const UpstreamLeaving& event,
+                                  MonotonicTime now) {
   Upstream* upstream = Find(event.upstream);
   if (upstream == nullptr) {
     if (event.started_at) {
       UpstreamNotice notice =
-          m_removed_notices.Take(event.upstream, *event.started_at);
+          m_removed_notices.Take(event.upstream, *event.started_at, now);
       notice.leaving = true;
       m_removed_notices.Store(event.upstream, *event.started_at, notice);
     }
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -310,6 +310,98 @@
   OnlyStart(fixture.Send("/once/"));
 }
 
+// Guards against requests and retries for an upstream that asked for none, also
+// when no other one is left.
+TEST(ForwardingStep, SendsNothingToUpstreamsThatAskedForAPause) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  fixture.AddUpstream("u2", "desk");
+  const std::string first = OnlyStart(fixture.Send("/again/")).upstream;
+  fixture.Apply(UpstreamPauseRequested{first, 0, 1s});
+  const std::string other =
+      OnlyStart(fixture.End(AttemptOutcome::kErrorResponse)).upstream;
+  CHECK(other != first);
+  fixture.Apply(UpstreamPauseRequested{other, 0, 2500ms});
+  // The only upstream that is left does not ask for the same request again.
+  UNSIGNED_LONGS_EQUAL(
+      1, EffectsOf<DeliverResponse>(fixture.End(AttemptOutcome::kErrorResponse))
+             .size());
+  const RefuseRequest refusal = OnlyRefusal(fixture.Send("/once/"));
+  CHECK(Is(RefusalCode::kOverloaded, refusal));
+  CHECK(refusal.verdict == Verdict::kNotRun);
+  CHECK(*refusal.retry_after >= 1s);
+  CHECK(*refusal.retry_after <=
+        1s + fixture.CurrentState().options.retry_after);
+  fixture.Wait(1s - 1ms);
+  OnlyRefusal(fixture.Send("/once/"));
+  fixture.Wait(1ms);
+  for (int i = 0; i < 10; ++i) {
+    STRCMP_EQUAL(first.c_str(),
+                 OnlyStart(fixture.Send("/once/")).upstream.c_str());
+  }
+}
+
+// Guards against a caller that is told to return before the only upstream,
+// which has just rejected its request, accepts any.
+TEST(ForwardingStep, ARejectionTellsWhenThePauseEnds) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  fixture.Send("/once/");
+  fixture.Apply(UpstreamPauseRequested{"u1", 0, 4s});
+  const RefuseRequest refusal =
+      OnlyRefusal(fixture.End(AttemptOutcome::kNotRun));
+  CHECK(refusal.verdict == Verdict::kNotRun);
+  CHECK(*refusal.retry_after >= 4s);
+}
+
+// Guards against a pause that ends early because of a shorter one, of a later
+// response or of the registry, and against one that lasts longer.
+TEST(ForwardingStep, APauseLastsAsLongAsRequested) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  const UpstreamEntry entry =
+      fixture.CurrentState().upstreams.Find("u1")->entry;
+  fixture.Send("/once/");
+  fixture.Apply(UpstreamPauseRequested{"u1", 0, 2s});
+  fixture.Apply(UpstreamPauseRequested{"u1", 0, 1ms});
+  fixture.End(AttemptOutcome::kCompleted);
+  fixture.Wait(500ms);
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyRefusal(fixture.Send("/once/"));
+  fixture.Apply(UpstreamRemoved{"u1"});
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyRefusal(fixture.Send("/once/"));
+  fixture.Apply(UpstreamsListed{});
+  fixture.Wait(1499ms);
+  fixture.Apply(UpstreamsListed{{entry}});
+  OnlyRefusal(fixture.Send("/once/"));
+  fixture.Wait(1ms);
+  OnlyStart(fixture.Send("/once/"));
+  fixture.Apply(UpstreamRemoved{"u1"});
+  fixture.Apply(UpstreamPauseRequested{"u1", 0, 1s});
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyRefusal(fixture.Send("/once/"));
+}
+
+// Guards against a restarted upstream that is unused because its earlier
+// process asked for a pause, and against ending a pause for which the new
+// process asked before its registry entry was read.
+TEST(ForwardingStep, ARestartEndsAPause) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  UpstreamEntry entry = fixture.CurrentState().upstreams.Find("u1")->entry;
+  fixture.Apply(UpstreamPauseRequested{"u1", entry.started_at, 1min});
+  ++entry.started_at;
+  fixture.Wait(2s);
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyRefusal(fixture.Send("/once/"));
+  ++entry.started_at;
+  fixture.Wait(1s);
+  fixture.Confirm();
+  fixture.Apply(UpstreamRegistered{entry});
+  OnlyStart(fixture.Send("/once/"));
+}
+
 // Guards against a registry outage that removes all upstreams, and against
 // removed upstreams that stay in use after the grace period.
 TEST(ForwardingStep, KeepsRemovedUpstreamsForAGracePeriodAfterAnOutage) {
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -121,11 +121,11 @@
     notices.Store("u" + std::to_string(i), 2, leaving);
   }
   UNSIGNED_LONGS_EQUAL(RemovedUpstreamNotices::kMaxNotices, notices.Size());
-  CHECK_FALSE(notices.Take("u0", 2).leaving);
+  CHECK_FALSE(notices.Take("u0", 2, now).leaving);
   const std::string newest = "u" + std::to_string(count - 1);
-  CHECK(notices.Take(newest, 2).leaving);
-  CHECK_FALSE(notices.Take(newest, 2).leaving);
-  CHECK_FALSE(notices.Take("u" + std::to_string(count - 2), 1).leaving);
+  CHECK(notices.Take(newest, 2, now).leaving);
+  CHECK_FALSE(notices.Take(newest, 2, now).leaving);
+  CHECK_FALSE(notices.Take("u" + std::to_string(count - 2), 1, now).leaving);
   UNSIGNED_LONGS_EQUAL(RemovedUpstreamNotices::kMaxNotices - 2, notices.Size());
 }
 
@@ -243,7 +243,7 @@
   UpstreamEntry entry;
   entry.id = "e1";
   entry.weights["m"] = 1;
-  upstreams.Register(entry);
+  upstreams.Register(entry, now);
   UNSIGNED_LONGS_EQUAL(0, outdated_count(upstreams));
   upstreams.OnWeightsObserved({"e1", "m", 12});
   UNSIGNED_LONGS_EQUAL(2, outdated_count(upstreams));
@@ -323,14 +323,14 @@
   entry.service = "s";
   entry.started_at = 1;
   entry.weights["m"] = 3;
-  directory.Register(entry);
+  directory.Register(entry, now);
   Options options;
   directory.Find("u")->RecordFailure(true, now, options);
   entry.weights["m"] = 2;
-  directory.Register(entry);
+  directory.Register(entry, now);
   UNSIGNED_LONGS_EQUAL(3, directory.Find("u")->WeightVersion("m"));
   entry.started_at = 2;
-  directory.Register(entry);
+  directory.Register(entry, now);
   UNSIGNED_LONGS_EQUAL(2, directory.Find("u")->WeightVersion("m"));
   CHECK_FALSE(directory.Find("u")->suspended_until.has_value());
   UNSIGNED_LONGS_EQUAL(1, directory.OfService("s").size());
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -217,6 +217,9 @@
   // no evidence; it was rejected above.
   const auto leaving = platform::DecodeLeaving(active->head.headers, upstream,
                                                active->upstream_started_at);
+  const auto pause =
+      platform::DecodePause(active->head.status, active->head.headers, upstream,
+                            active->upstream_started_at);
   if (active->metadata.load) {
     auto load = *active->metadata.load;
     load.upstream = upstream;
@@ -228,6 +231,9 @@
   if (leaving) {
     Apply(*leaving);
   }
+  if (pause) {
+    Apply(*pause);
+  }
 }
 
 void ForwardingHost::OnData(RequestId id,
--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -456,6 +456,60 @@
   LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
 }
 
+// Guards against requests for an upstream that asked for none for some time.
+TEST(ForwarderPath, AnUpstreamThatAskedForAPauseGetsNothingMeanwhile) {
+  using Clock = std::chrono::steady_clock;
+  constexpr std::chrono::milliseconds kPause{800};
+  ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  std::optional<std::size_t> pausing;
+  Clock::time_point paused_at;
+  std::size_t arrivals_in_pause = 0;
+  std::size_t arrivals_after_pause = 0;
+  for (std::size_t i = 0; i < 2; ++i) {
+    fixture.Upstream(i).SetBehaviour([&, i](const auto&) {
+      UpstreamResponse response;
+      if (!pausing) {
+        pausing = i;
+        paused_at = Clock::now();
+        response.kind = UpstreamResponse::Kind::kNotRun;
+        response.headers = {{"Retry-After", "0.8"}};
+      } else if (pausing == i) {
+        const bool early = Clock::now() - paused_at < kPause;
+        ++(early ? arrivals_in_pause : arrivals_after_pause);
+      }
+      return response;
+    });
+  }
+  CHECK(fixture.RunUntil([&] {
+    LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
+    return arrivals_after_pause > 0;
+  }));
+  UNSIGNED_LONGS_EQUAL(0, arrivals_in_pause);
+}
+
+// Guards against callers that wait, or return too early, while all upstreams
+// asked for no requests, and against sending them requests as a last resort.
+TEST(ForwarderPath, RefusesAtOnceWhileAllUpstreamsPause) {
+  ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  std::size_t arrivals = 0;
+  fixture.SetBehaviour([&](const auto&) {
+    ++arrivals;
+    UpstreamResponse response =
+        MakeUpstreamResponse(UpstreamResponse::Kind::kNotRun);
+    response.headers = {{"Retry-After", "40"}};
+    return response;
+  });
+  for (int i = 0; i < 5; ++i) {
+    const Response refused = fixture.Send("/again/x");
+    LONGS_EQUAL(503, refused.head.status);
+    CHECK(std::stod(refused.Header("Retry-After")) > 10);
+  }
+  UNSIGNED_LONGS_EQUAL(2, arrivals);
+  UNSIGNED_LONGS_EQUAL(0, fixture.RunCount());
+}
+
 // Guards against a planned stop that aborts a request in progress.
 TEST(ForwarderPath, StopFinishesRequestsInProgress) {
   ForwarderFixture fixture;
