Answer the requests that have arrived when a StreamServer stops

Cause: bytes may have been read from a connection, with the handler of the read still queued, when StopAccepting closes it as idle. The handler then ran with these bytes, and the request was passed on from a connection that was closed. As a closed connection is not busy, the daemon ended right after. By the code, the same race acts when an idle connection times out. Four more ways lost requests: connections that were not accepted yet were reset, one accepted in the same turn of the loop was dropped, and a request that was being read and a response that was being written did not count as busy, so that the process ended under them.

Evidence, on the code before (the handled request of the first is counted before this check, that is, it was passed on): stream_server_stop_test.cc:127: Failure in TEST(StreamServerStop, ARequestThatWasReadIsAnswered) CHECK(caller.IsAnswered()) failed stream_server_stop_test.cc:144: Failure in TEST(StreamServerStop, WaitingConnectionsAreServed) CHECK(first.IsAnswered()) failed stream_server_stop_test.cc:158: Failure in TEST(StreamServerStop, ARequestOnAKeptConnectionIsAnswered) CHECK(fixture.Server().BusyConnections() == 1) failed stream_server_stop_test.cc:177: Failure in TEST(StreamServerStop, APartOfARequestKeepsTheConnectionBusy) expected <1 (0x1)> but was <0 (0x0)> stream_server_stop_test.cc:191: Failure in TEST(StreamServerStop, AnUnsentResponseKeepsTheConnectionBusy) expected <1 (0x1)> but was <0 (0x0)>

Fix: StopAccepting first accepts the waiting connections. An idle connection is closed by the handler of its cancelled read, which is called with the bytes if there were any; the server counts as busy until then, while a request is being read (for at most a second) and while a response is being written. No bytes of a closed connection are parsed.

--- a/packages/net/include/jasminehatch/detail/stream/stream_server.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_server.h
@@ -54,11 +54,12 @@
   /// Makes each response from now on close its connection.
   void CloseAfterResponses();
 
-  /// Stops accepting connections and closes those without a request in
-  /// progress.
+  /// Stops accepting connections and closes the others: at once those without
+  /// a request, and each of the rest after its response.
   void StopAccepting();
 
-  /// @return the number of connections with a request in progress
+  /// @return the number of connections with a request that is being read or
+  /// in progress, or with a response that is being written
   std::size_t BusyConnections() const;
 
   /// @return the number of open connections
--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -18,6 +18,10 @@
 /// closed.
 constexpr std::chrono::milliseconds kLingerTimeout{500};
 
+/// Longest time for which an incomplete request counts as being read; callers
+/// send a request at once.
+constexpr std::chrono::milliseconds kReadingTime{1000};
+
 /// @brief The exchange that is passed to a handler.
 class Exchange : public ServerExchange {
  public:
@@ -107,15 +111,27 @@
       [self = shared_from_this()](const asio::error_code& error,
                                   std::size_t length) {
         self->m_read_pending = false;
-        if (error) {
-          self->CloseNow();
-          return;
-        }
-        self->OnRead(length);
+        self->OnRead(error, length);
       });
 }
 
-void ServerConnection::OnRead(std::size_t length) {
+void ServerConnection::OnRead(const asio::error_code& error,
+                              std::size_t length) {
+  // The read may have ended before the connection was closed. A request from a
+  // closed connection would run and get no response.
+  if (!m_socket.is_open()) {
+    return;
+  }
+  asio::error_code ignored;
+  if (error == asio::error::operation_aborted && m_close_when_idle &&
+      (!IsIdle() || m_socket.available(ignored) > 0)) {
+    Read();
+    return;
+  }
+  if (error) {
+    CloseNow();
+    return;
+  }
   if (m_phase != Phase::kClosing) {
     m_input.append(m_buffer.data(), length);
   }
@@ -126,7 +142,7 @@
 }
 
 void ServerConnection::ParseInput() {
-  while (m_phase == Phase::kReading && !m_input.empty()) {
+  while (m_phase == Phase::kReading && m_socket.is_open() && !m_input.empty()) {
     if (!std::exchange(m_first_byte_seen, true)) {
       m_timed_since = std::chrono::steady_clock::now();
     }
@@ -212,7 +228,7 @@
   for (const HttpHeader& header : headers) {
     AppendHeader(head, header);
   }
-  if (!m_keep_alive || m_shared->close_after_responses) {
+  if (ClosesAfterResponse()) {
     head += "Connection: close\r\n";
   }
   return head;
@@ -280,7 +296,7 @@
 void ServerConnection::FinishResponse() {
   m_on_closed = nullptr;
   m_timed_since = std::chrono::steady_clock::now();
-  const bool close = !m_keep_alive || m_shared->close_after_responses;
+  const bool close = ClosesAfterResponse();
   m_phase = close ? Phase::kClosing : Phase::kReading;
   Flush();
   if (!close && !m_input.empty()) {
@@ -301,6 +317,8 @@
   if (m_output.empty()) {
     if (m_phase == Phase::kClosing) {
       BeginClosing();
+    } else if (m_close_when_idle) {
+      CloseWhenIdle();
     }
     return;
   }
@@ -366,9 +384,35 @@
   }
 }
 
-void ServerConnection::CloseIfIdle() {
-  if (m_phase == Phase::kReading && !m_first_byte_seen && m_input.empty()) {
-    CloseNow();
+bool ServerConnection::IsIdle() const {
+  return m_phase == Phase::kReading && !m_first_byte_seen && m_input.empty() &&
+         !m_write_pending && m_output.empty();
+}
+
+bool ServerConnection::IsBusy(Time now) const {
+  if (!m_socket.is_open()) {
+    return false;
+  }
+  if (m_phase == Phase::kResponding || m_write_pending || !m_output.empty()) {
+    return true;
+  }
+  if (m_phase == Phase::kClosing) {
+    return false;
+  }
+  return IsIdle() ? m_close_when_idle : now - m_timed_since < kReadingTime;
+}
+
+bool ServerConnection::ClosesAfterResponse() const {
+  return !m_keep_alive || m_close_when_idle || m_shared->close_after_responses;
+}
+
+void ServerConnection::CloseWhenIdle() {
+  m_close_when_idle = true;
+  if (m_socket.is_open() && IsIdle()) {
+    // A request may have been read although `OnRead` was not called yet. If
+    // not, the cancelled read closes the connection.
+    asio::error_code ignored;
+    m_socket.cancel(ignored);
   }
 }
 
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -39,10 +39,13 @@
   /// Closes the connection if a time limit has passed.
   void CheckTimeouts(Time now);
 
-  /// Closes the connection unless a request is in progress.
-  void CloseIfIdle();
+  /// Closes the connection, once a request that was already received and a
+  /// response that is being written are done.
+  void CloseWhenIdle();
 
-  bool IsBusy() const { return m_phase == Phase::kResponding; }
+  /// @return whether a request is being read or is in progress, a response is
+  /// being written, or `CloseWhenIdle` has not taken effect yet
+  bool IsBusy(Time now) const;
   bool IsOpen() const { return m_socket.is_open(); }
 
   // Called by the exchange in progress; calls with the sequence number of an
@@ -71,8 +74,12 @@
     return m_phase == Phase::kResponding && sequence == m_sequence &&
            m_socket.is_open();
   }
+  /// @return whether no byte of a request was received and no response is
+  /// being written
+  bool IsIdle() const;
+  bool ClosesAfterResponse() const;
   void Read();
-  void OnRead(std::size_t length);
+  void OnRead(const asio::error_code& error, std::size_t length);
   void ParseInput();
   void OnHead();
   void DispatchRequest();
@@ -104,6 +111,7 @@
   bool m_keep_alive = true;
   bool m_is_head_request = false;
   bool m_first_byte_seen = false;
+  bool m_close_when_idle = false;
 };
 
 }  // namespace jasminehatch::net
--- a/packages/net/src/stream/stream_server.cc
+++ b/packages/net/src/stream/stream_server.cc
@@ -64,6 +64,7 @@
   }
 
   void Shutdown() {
+    m_shut_down = true;
     StopAccepting();
     m_check_timer.cancel();
     // Every time limit has passed at this time: a request with an incomplete
@@ -78,18 +79,20 @@
   SharedServerState& Shared() { return *m_shared; }
 
   void StopAccepting() {
+    AcceptWaiting();
     asio::error_code ignored;
     m_acceptor.close(ignored);
     m_accept_timer.cancel();
     for (const auto& connection : m_connections) {
-      connection->CloseIfIdle();
+      connection->CloseWhenIdle();
     }
   }
 
   std::size_t BusyConnections() const {
-    return static_cast<std::size_t>(std::count_if(
-        m_connections.begin(), m_connections.end(),
-        [](const auto& c) { return c->IsOpen() && c->IsBusy(); }));
+    const auto now = std::chrono::steady_clock::now();
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(),
+                      [now](const auto& c) { return c->IsBusy(now); }));
   }
 
   std::size_t OpenConnections() const {
@@ -104,6 +107,9 @@
                                 const asio::error_code& error,
                                 tcp::socket socket) {
       if (!self->m_acceptor.is_open()) {
+        if (!error && !self->m_shut_down) {
+          self->Add(std::move(socket))->CloseWhenIdle();
+        }
         return;
       }
       if (error) {
@@ -115,14 +121,36 @@
         });
         return;
       }
-      auto connection =
-          std::make_shared<ServerConnection>(std::move(socket), self->m_shared);
-      self->m_connections.push_back(connection);
-      connection->Start();
+      self->Add(std::move(socket));
       self->Accept();
     });
   }
 
+  /// Accepts the connections that callers have already opened; closing the
+  /// acceptor resets them, with the requests that they may carry.
+  void AcceptWaiting() {
+    if (m_shut_down || !m_acceptor.is_open()) {
+      return;
+    }
+    asio::error_code error;
+    m_acceptor.non_blocking(true, error);
+    for (int i = 0; i < kBacklog && !error; ++i) {
+      tcp::socket socket(m_acceptor.get_executor());
+      m_acceptor.accept(socket, error);
+      if (!error) {
+        Add(std::move(socket));
+      }
+    }
+  }
+
+  std::shared_ptr<ServerConnection> Add(tcp::socket socket) {
+    auto connection =
+        std::make_shared<ServerConnection>(std::move(socket), m_shared);
+    m_connections.push_back(connection);
+    connection->Start();
+    return connection;
+  }
+
   void ScheduleTimeoutCheck() {
     m_check_timer.expires_after(kCheckInterval);
     m_check_timer.async_wait(
@@ -145,6 +173,7 @@
   asio::steady_timer m_accept_timer;
   std::shared_ptr<SharedServerState> m_shared;
   std::vector<std::shared_ptr<ServerConnection>> m_connections;
+  bool m_shut_down = false;
 };
 
 StreamServer::StreamServer(asio::io_context& loop,
