Load the oldest weights first

Six of 18 engines still had version 1 when the next holder started at 14.25 s with version 3; it first loaded the twelve engines with version 2.

Cause: the rollout reducer orders upstreams by name.

Fix: a target says how many versions the upstream is behind, and those that are further behind load first, after the rule that upstreams whose loads expired come last.

Without the comparison the test fails:

rollout_test.cc:302: error: Failure in TEST(Rollout, TheOldestWeightsAreReplacedFirst) expected <w1> but was <w0>

--- a/packages/core/include/jasminehatch/detail/rollout/event.h
+++ b/packages/core/include/jasminehatch/detail/rollout/event.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,6 +29,9 @@
   std::string upstream;
   ModelVersion wanted;
   LoadStart start = LoadStart::kQuietHours;
+  /// Versions between the loaded and the wanted one; upstreams that are further
+  /// behind load first.
+  std::uint64_t versions_behind = 0;
 };
 
 /// A new configuration is in force; it replaces all targets and ends a pause.
--- a/packages/core/src/rollout/step.cc
+++ b/packages/core/src/rollout/step.cc
@@ -162,8 +162,9 @@
       });
 }
 
-/// @return the targets; upstreams whose loads expired come last, so that they
-/// do not take the places of the others again and again
+/// @return the targets; the oldest weights reach their time limit first, and
+/// upstreams whose loads expired come last, so that they do not take the places
+/// of the others again and again
 std::vector<const Target*> Reducer::TargetsInOrder() const {
   std::vector<const Target*> targets;
   for (const auto& [upstream, target] : m_state.targets) {
@@ -175,7 +176,8 @@
   };
   std::stable_sort(targets.begin(), targets.end(),
                    [&](const Target* a, const Target* b) {
-                     return expired(a) < expired(b);
+                     return std::pair(expired(a), b->versions_behind) <
+                            std::pair(expired(b), a->versions_behind);
                    });
   return targets;
 }
--- a/packages/core/tests/rollout_test.cc
+++ b/packages/core/tests/rollout_test.cc
@@ -281,3 +281,23 @@
   configure("v3");
   STRCMP_EQUAL("w0 v2, w1 v2, w2 v2, w2 v3, ", ordered.c_str());
 }
+
+// Guards against upstreams with the oldest weights that load last because their
+// names come last: their weights reach the time limit first.
+TEST(Rollout, TheOldestWeightsAreReplacedFirst) {
+  rollout::State state;
+  state.options.max_loads = 1;
+  Step(rollout::HolderChanged{true}, MonotonicTime{}, state);
+  Step(rollout::VersionReported{"w0", {"assistant", "v2"}, true},
+       MonotonicTime{}, state);
+  Step(rollout::VersionReported{"w1", {"assistant", "v1"}, true},
+       MonotonicTime{}, state);
+  const rollout::ModelVersion wanted{"assistant", "v3"};
+  const auto effects = Step(
+      rollout::TargetsConfigured{{{"w0", wanted, rollout::LoadStart::kNow, 1},
+                                  {"w1", wanted, rollout::LoadStart::kNow, 2}},
+                                 {}},
+      MonotonicTime{}, state);
+  CHECK_EQUAL(1, effects.size());
+  STRCMP_EQUAL("w1", std::get<rollout::OrderLoad>(effects[0]).upstream.c_str());
+}
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -222,7 +222,9 @@
   for (const auto& [key, target] : m_targets) {
     const rollout::ModelVersion wanted{target.model,
                                        std::to_string(target.wanted)};
-    configured.targets.push_back({key, wanted, rollout::LoadStart::kNow});
+    configured.targets.push_back(
+        {key, wanted, rollout::LoadStart::kNow,
+         target.wanted - std::min(target.current, target.wanted)});
     configured.in_use.push_back(wanted);
   }
   StepRollout(configured);
