Release the lease a second time when the next holder may claim at once

Cause: a reader counts the age of a release from reading it, so a daemon that starts later waits the rest of the time again.

Fix: a stopping holder writes a second record when the shortest time between two holders' orders has passed; whoever reads that claims at once. It stays for at most half a second longer than that time. A holder that goes on running writes only this record, as before.

With the former rule the test fails:

lease_session_test.cc:281: error: Failure in TEST(LeaseSession, StoppingHolderReleasesAgainWhenNoWaitIsLeft)

--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -60,6 +60,7 @@
   void Accept(Group& group, std::uint64_t offset, const LeaseRecord& record);
   void AppendClaim(const std::string& name, Group& group);
   void AppendRelease(const std::string& name, Group& group);
+  bool AllowsClaimAtOnce(const LeaseRelease& release) const;
   bool MayAppend(Group& group);
   MonotonicTime EarliestClaim(const Group& group, bool holds) const;
   void UpdateGroup(const std::string& name, Group& group);
@@ -196,21 +197,22 @@
 }
 
 /// Releases the lease. An order in flight may arrive later, so its end is
-/// awaited. A holder that goes on running waits until the next one may claim
-/// at once: readers then need not know the age of the record.
+/// awaited. A reader counts the age of a release from reading it, so a second
+/// record follows when the next holder may claim at once. A holder that goes on
+/// running writes only that one.
 void Reducer::AppendRelease(const std::string& name, Group& group) {
-  if (group.release || group.orders_in_flight > 0) {
+  if (group.orders_in_flight > 0 ||
+      (group.release && AllowsClaimAtOnce(*group.release))) {
     return;
   }
   LeaseRelease release;
   if (group.last_order_at) {
     release.since_last_order = m_now - *group.last_order_at;
-    const MonotonicTime release_at =
-        *group.last_order_at + m_state.options.margin;
-    if (!m_state.shutting_down && m_now < release_at) {
-      ScheduleTimer(release_at);
-      return;
-    }
+  }
+  const bool is_first_of_two = m_state.shutting_down && !group.release;
+  if (!AllowsClaimAtOnce(release) && !is_first_of_two) {
+    ScheduleTimer(*group.last_order_at + m_state.options.margin);
+    return;
   }
   if (MayAppend(group)) {
     m_effects.emplace_back(AppendLease{
@@ -218,6 +220,11 @@
   }
 }
 
+bool Reducer::AllowsClaimAtOnce(const LeaseRelease& release) const {
+  return !release.since_last_order ||
+         *release.since_last_order >= m_state.options.margin;
+}
+
 MonotonicTime Reducer::EarliestClaim(const Group& group, bool holds) const {
   if (holds) {
     return group.sent_at + m_state.options.renew_after;
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -264,3 +264,30 @@
   Read("entry-1");
   STRCMP_CONTAINS("> append: holder entry-1 base 4\n", m_trace.c_str());
 }
+
+// Guards against a claim that waits for the whole age of a release that was
+// written long before it was read: every daemon may have started since.
+TEST(LeaseSession, StoppingHolderReleasesAgainWhenNoWaitIsLeft) {
+  Start("entry-1");
+  Start("entry-2");
+  Read("entry-1");
+  Read("entry-1");
+  Report("entry-1", "checked");
+  Send("entry-1", "order ended", lease::OrderEnded{"group", "checked"});
+  Send("entry-1", "stops", lease::ShutdownRequested{});
+  Read("entry-1");
+  Timer("entry-1", 1'999ms);
+  Timer("entry-1", 1ms);
+  STRCMP_CONTAINS(
+      "> append: holder entry-1 base 2 release, last order 2000 ms ago\n",
+      m_trace.c_str());
+  Read("entry-1");
+  m_trace.clear();
+  Timer("entry-1", 1s);
+  Read("entry-2");
+  STRCMP_EQUAL(
+      "3000ms entry-1 < timer\n"
+      "3000ms entry-2 < reads to record 3\n"
+      "    > append: holder entry-2 base 3\n",
+      m_trace.c_str());
+}
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -88,6 +88,9 @@
   /// Stops sending orders and releases the lease.
   void Stop();
 
+  /// @return whether the process should go on running to release the lease
+  bool IsReleasing() const;
+
  private:
   /// A model on an upstream.
   struct Target {
@@ -155,6 +158,7 @@
   std::uint64_t m_next_offset = 0;
   MonotonicTime m_last_lease_read_at{};
   MonotonicTime m_earliest_claim_at{};
+  MonotonicTime m_release_until{};
   bool m_lease_read_pending = false;
   bool m_active = false;
   bool m_timer_armed = false;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -616,7 +616,8 @@
   if (age >= kBalancerDetectionTime && std::exchange(m_accepting, false)) {
     m_server->StopAccepting();
   }
-  const bool idle = !m_accepting && m_server->BusyConnections() == 0;
+  const bool idle = !m_accepting && m_server->BusyConnections() == 0 &&
+                    !m_rollout.IsReleasing();
   // The platform terminates the process soon after this.
   const bool out_of_time = age >= m_settings.stop_grace - milliseconds(300);
   if (idle || out_of_time) {
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -47,6 +47,9 @@
 constexpr milliseconds kHoldTime{1200};
 constexpr milliseconds kRenewAfter{600};
 
+/// A stopping daemon waits this long for the append of its release.
+constexpr milliseconds kReleaseTime{500};
+
 /// An order without a reported effect is repeated after this time. Orders may
 /// take effect seconds later, and the platform charges for each.
 constexpr milliseconds kOrderRetryDelay{4000};
@@ -211,10 +214,15 @@
 
 void WeightsRollout::Stop() {
   m_stopped = true;
+  m_release_until = m_clock.Now() + m_options.lease_time + kReleaseTime;
   StepLease(lease::ShutdownRequested{});
   ArmTimer();
 }
 
+bool WeightsRollout::IsReleasing() const {
+  return m_stopped && m_lease.NextTimer() && m_clock.Now() < m_release_until;
+}
+
 void WeightsRollout::ApplyTargets() {
   m_rollout.options.max_loads =
       std::max(kMinConcurrentLoads, m_targets.size() / kEnginesPerLoad);
