Withdraw the orders of loads that ended or lost their places

What callers saw: loads took longer, since more of them went on at the same time than allowed.

Cause: the lease reducer orders an upstream until a report shows the desired state. The daemon set a desired state for each load and never took it back: the last report of a rollout ends the rollout before it reaches the reducer, and a load that timed out kept its desired state without a place.

Fix: a new event, DesiredWithdrawn. The daemon sends it for each load that is no longer in the rollout's places.

When the event does nothing, the test fails:

TEST(LeaseSession, WithdrawnUpstreamGetsNoOrder) CHECK(m_trace.find("order checked") == std::string::npos) failed

--- a/packages/core/include/jasminehatch/detail/lease/event.h
+++ b/packages/core/include/jasminehatch/detail/lease/event.h
@@ -30,6 +30,12 @@
   UpstreamState desired;
 };
 
+/// An upstream is to get no further orders until a new desired state is set.
+struct DesiredWithdrawn {
+  std::string group;
+  std::string upstream;
+};
+
 /// An upstream reported its state.
 struct StateReported {
   std::string group;
@@ -79,6 +85,7 @@
 
 using Event = std::variant<UpstreamConfigured,
                            DesiredChanged,
+                           DesiredWithdrawn,
                            StateReported,
                            AppendFailed,
                            LeaseRecordsRead,
--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -38,6 +38,9 @@
 
   void Apply(const UpstreamConfigured& event);
   void Apply(const DesiredChanged& event);
+  void Apply(const DesiredWithdrawn& event) {
+    m_state.groups[event.group].upstreams.erase(event.upstream);
+  }
   void Apply(const StateReported& event);
   void Apply(const AppendFailed& event);
   void Apply(const LeaseRecordsRead& event);
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -291,3 +291,15 @@
       "    > append: holder entry-2 base 3\n",
       m_trace.c_str());
 }
+
+// Guards against orders for a load that lost its place or belongs to an earlier
+// rollout: they reach upstreams beside the allowed number of loads.
+TEST(LeaseSession, WithdrawnUpstreamGetsNoOrder) {
+  Start("entry-1");
+  Read("entry-1");
+  Send("entry-1", "checked is withdrawn",
+       lease::DesiredWithdrawn{"group", "checked"});
+  Read("entry-1");
+  Report("entry-1", "checked");
+  CHECK(m_trace.find("order checked") == std::string::npos);
+}
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -128,6 +128,7 @@
   void OnLeaseRecords(const platform::StorePage& page);
   void StepLease(const lease::Event& event);
   void StepRollout(const rollout::Event& event);
+  void WithdrawOrders();
   void Execute(const lease::AppendLease& effect);
   void Execute(const lease::ReadLeaseStream& effect);
   void Execute(const lease::SendOrder& effect);
@@ -151,6 +152,7 @@
   rollout::State m_rollout;
   std::map<std::string, Target> m_targets;  ///< By upstream and model.
   std::map<std::string, Report> m_reports;
+  std::set<std::string> m_ordered;  ///< Keys with a desired state.
   std::set<std::string> m_loading;  ///< Keys of accepted orders.
   std::function<void(const codec::WeightsUpdate&)> m_on_update;
   relay::Standby m_standby;
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -419,6 +419,19 @@
   for (const auto& effect : rollout::Step(event, m_clock.Now(), m_rollout)) {
     std::visit([this](const auto& body) { Execute(body); }, effect);
   }
+  WithdrawOrders();
+}
+
+/// Ends the orders of loads that ended or lost their places.
+void WeightsRollout::WithdrawOrders() {
+  for (auto key = m_ordered.begin(); key != m_ordered.end();) {
+    if (m_rollout.loads.contains(*key)) {
+      ++key;
+      continue;
+    }
+    StepLease(lease::DesiredWithdrawn{kLeaseGroup, *key});
+    key = m_ordered.erase(key);
+  }
 }
 
 void WeightsRollout::Execute(const lease::AppendLease& effect) {
@@ -466,6 +479,7 @@
   if (target == m_targets.end()) {
     return;
   }
+  m_ordered.insert(effect.upstream);
   StepLease(lease::UpstreamConfigured{kLeaseGroup, effect.upstream,
                                       m_options.upstreams_check_fences,
                                       kEnginesCheckOrderCount});
