End the load of an upstream with its report, or after a time limit

What callers saw: nothing yet; found by the review of the restarts. After a holder of the lease was stopped or killed during a load, its engine got no requests from any daemon that had heard of the load, although it had the newest weights: with a limit on old weights, prompts were refused.

Cause: only the daemon that had sent the order told the others that the load had ended. A later holder says so for its own loads alone, and neither a report of newer weights nor time ended it.

Change: a report of newer weights, from the registry or a response, ends the load, and without one it ends after 5 s.

With both taken out, the new tests fail:

forwarding_step_test.cc:546: error: Failure in TEST(ForwardingStep, NewerWeightsEndALoad) expected <1 (0x1)> but was <0 (0x0)> forwarding_step_test.cc:559: error: Failure in TEST(ForwardingStep, ALoadOfUnknownEndIsNotAwaitedForever) expected <1 (0x1)> but was <0 (0x0)>

--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -51,6 +51,10 @@
   /// then on, since its age is not known.
   Duration found_version_limit = std::chrono::milliseconds(2250);
 
+  /// Time after which an upstream that was said to load weights is used again,
+  /// since the daemon that waits for the end of the load may have stopped.
+  Duration max_load_time = std::chrono::milliseconds(5000);
+
   /// Retry delay sent with refusals; up to the same time is added at random, so
   /// that callers do not return simultaneously.
   Duration retry_after = std::chrono::milliseconds(250);
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -40,8 +40,9 @@
   UpstreamEntry entry;
   UpstreamNotice notice;
   std::optional<MonotonicTime>
-      removed_at;        ///< Time of removal from the registry.
-  bool loading = false;  ///< It is loading weights.
+      removed_at;  ///< Time of removal from the registry.
+  /// It is loading weights, until then or until it reports newer ones.
+  std::optional<MonotonicTime> loading_until;
 
   /// Not used until then, unless there is no other upstream; set after it
   /// rejected a request because it was full or loading weights.
@@ -70,6 +71,10 @@
     return found == entry.weights.end() ? 0 : found->second;
   }
 
+  bool IsLoading(MonotonicTime now) const {
+    return loading_until && now < *loading_until;
+  }
+
   void OnAttemptStarted(std::uint64_t needed_tokens) {
     tokens += needed_tokens;
     ++in_flight;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -54,6 +54,10 @@
   /// Records the weights that an upstream reported; versions never decrease.
   void OnWeightsObserved(const WeightsObserved& observed);
 
+  /// Records that an upstream began or finished loading weights.
+  /// @param until when it is used again at the latest
+  void OnLoading(const UpstreamLoading& event, MonotonicTime until);
+
   /// Records that an upstream rejected the weight version expected of it.
   void OnWeightsRejected(const std::string& id, const std::string& model);
 
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -180,7 +180,8 @@
 
   /// @return whether the upstream could run the request if it accepted it
   bool CanRun(const Upstream& upstream) const {
-    if (!m_state.upstreams.IsUsable(upstream, m_now) || upstream.loading) {
+    if (!m_state.upstreams.IsUsable(upstream, m_now) ||
+        upstream.IsLoading(m_now)) {
       return false;
     }
     if (!m_request.arrival.prompt) {
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -65,9 +65,7 @@
   void Apply(const UpstreamLeaving& event);
   void Apply(const UpstreamPauseRequested& event);
   void Apply(const UpstreamLoading& event) {
-    if (Upstream* upstream = m_state.upstreams.Find(event.upstream)) {
-      upstream->loading = event.loading;
-    }
+    m_state.upstreams.OnLoading(event, m_now + m_state.options.max_load_time);
   }
   void Apply(const AttemptEnded& event);
   void Apply(const CacheListed& event) { m_state.stores.Apply(event); }
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -40,8 +40,9 @@
         known->entry.address == entry.address) {
       const auto weights = known->entry.weights;
       known->entry = entry;
+      known->entry.weights = weights;
       known->removed_at.reset();
-      for (const auto& [model, version] : weights) {
+      for (const auto& [model, version] : entry.weights) {
         OnWeightsObserved({entry.id, model, version});
       }
       return;
@@ -137,7 +138,18 @@
 void UpstreamDirectory::OnWeightsObserved(const WeightsObserved& observed) {
   if (Upstream* upstream = Find(observed.upstream)) {
     std::uint64_t& version = upstream->entry.weights[observed.model];
-    version = std::max(version, observed.version);
+    if (observed.version > version) {
+      version = observed.version;
+      upstream->loading_until.reset();
+    }
+  }
+}
+
+void UpstreamDirectory::OnLoading(const UpstreamLoading& event,
+                                  MonotonicTime until) {
+  if (Upstream* upstream = Find(event.upstream)) {
+    upstream->loading_until =
+        event.loading ? std::optional(until) : std::nullopt;
   }
 }
 
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -541,6 +541,32 @@
   }
 }
 
+// Guards against an upstream that stays unused because the daemon that waited
+// for the end of its load stopped before it could say so.
+TEST(ForwardingStep, NewerWeightsEndALoad) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e1", "engine", 1);
+  fixture.Apply(UpstreamLoading{"e1", true});
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/prompt/"))));
+  fixture.Apply(WeightsObserved{"e1", "m", 1});
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/prompt/"))));
+  fixture.AddUpstream("e1", "engine", 2);
+  OnlyStart(fixture.Send("/prompt/"));
+}
+
+// Guards against an upstream that stays unused after a load whose end nobody
+// reports.
+TEST(ForwardingStep, ALoadOfUnknownEndIsNotAwaitedForever) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e1", "engine", 1);
+  fixture.Apply(UpstreamLoading{"e1", true});
+  fixture.Wait(fixture.CurrentState().options.max_load_time - 1ms);
+  fixture.Confirm();
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/prompt/"))));
+  fixture.Wait(1ms);
+  OnlyStart(fixture.Send("/prompt/"));
+}
+
 // Guards against sending the same weight version again to an upstream that
 // rejected it.
 TEST(ForwardingStep, UpdatesTheWeightVersionAfterARejection) {
