Stop using old weights early enough for requests that wait at their upstream

Cause: the limit was applied to sending a request. It begins at the upstream with its first token, 1.6 to 2.0 s later in the traces (sent at 10.582 s to an engine with version 1, begun at 12.205 s, 6,190 ms after version 2 was acknowledged). Work counted as started when it was sent.

Change: older weights are used until 2 s before the limit, at least for half of it.

A request that waits at its upstream for more than 2 s can still begin late; cancelling attempts without a token at the limit is the remaining step.

--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -94,10 +94,15 @@
 /// admission, so the rest only has to cover clock errors.
 constexpr double kProofLimitFraction = 0.85;
 
-/// Fraction of `version_limit` after which only upstreams with the published
+/// Time before `version_limit` from which only upstreams with the published
 /// weight version are used. From `version_limit` after the publication, no
-/// request may start on older weights.
-constexpr double kVersionLimitFraction = 0.85;
+/// request may begin on older weights, and it begins with its first token: it
+/// waits in the queue of the upstream before, or the upstream is silent.
+constexpr milliseconds kMaxBeginDelay{2000};
+
+/// Smallest share of `version_limit` for which older weights are used, for
+/// settings in which `kMaxBeginDelay` would take most of it.
+constexpr double kMinVersionLimitFraction = 0.5;
 
 /// Fraction of `contact_limit` for which a weight version that was found at the
 /// start, and that no upstream has, is not required. The rest covers the first
@@ -132,8 +137,9 @@
         std::chrono::duration<double, std::milli>(time) * factor);
   };
   options.max_proof_age = scale(settings.revoke_limit, kProofLimitFraction);
-  options.version_hard_limit =
-      scale(settings.version_limit, kVersionLimitFraction);
+  options.version_hard_limit = std::max<Duration>(
+      settings.version_limit - kMaxBeginDelay,
+      scale(settings.version_limit, kMinVersionLimitFraction));
   options.found_version_limit =
       scale(settings.contact_limit, kContactLimitFraction);
   options.retry_ratio = settings.retry_ratio;
