Do not suspend an upstream for a silent second

What callers saw: an upstream that was silent for a second and went on got no requests for 0.7 s or more afterwards, and the load went to the others.

Cause: an attempt at an idempotent request times out after 0.4 of its remaining time, which is 0.3 s on a route with 0.8 s. Each timeout counted as a failure, and three in a row suspend an upstream.

Fix: a timeout counts as a failure only if the upstream has not responded for more than 1.5 s since the first attempt after its last response; earlier ones raise its load as before. An upstream that hangs is still suspended.

Examined and left as it is: a timeout of an attempt reports no crash. A stream is not started elsewhere before 1.5 s without a first event, and no attempt that may run once, last attempt or stream that has begun is ended for silence before its deadline; a second test pins this. The second attempt of an idempotent request stays: it gets the caller its response in time, ends no response and breaks no rule. Connect timeouts and unacknowledged bytes are no silence of the process. A load query without response within 0.8 s is repeated.

Failed before (the parent commit with these tests):

forwarding_step_test.cc:200: error: Failure in TEST(ForwardingStep, ASilentSecondSuspendsNoUpstream) CHECK_FALSE(is_suspended()) failed

--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -56,6 +56,8 @@
 
   std::uint32_t consecutive_failures = 0;
   std::optional<MonotonicTime> suspended_until;
+  /// Start of the first attempt since its last response, if any.
+  std::optional<MonotonicTime> silent_since;
   double failure_share = 0;  ///< Moving average over the latest attempts.
 
   /// @return the estimated number of its requests, from the last report and
@@ -75,7 +77,8 @@
     return loading_until && now < *loading_until;
   }
 
-  void OnAttemptStarted(std::uint64_t needed_tokens) {
+  void OnAttemptStarted(std::uint64_t needed_tokens, MonotonicTime now) {
+    silent_since = silent_since.value_or(now);
     tokens += needed_tokens;
     ++in_flight;
     load_since_report += 1;
@@ -90,6 +93,8 @@
     load_since_report = 0;
   }
 
+  void OnResponse() { silent_since.reset(); }
+
   /// Records an attempt that the upstream completed.
   void RecordSuccess();
 
@@ -98,6 +103,11 @@
   void RecordFailure(bool unreachable,
                      MonotonicTime now,
                      const Options& options);
+
+  /// Records an attempt that timed out. It counts as a failed one only if the
+  /// upstream has been silent for longer than a sound one may be, otherwise
+  /// only in `failure_share`.
+  void RecordTimeout(MonotonicTime now, const Options& options);
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -40,6 +40,24 @@
   }
 }
 
+/// @return whether an attempt with this outcome got a response
+bool IsResponse(AttemptOutcome outcome) {
+  switch (outcome) {
+    case AttemptOutcome::kCompleted:
+    case AttemptOutcome::kErrorResponse:
+    case AttemptOutcome::kNotRun:
+    case AttemptOutcome::kWrongWeights:
+    case AttemptOutcome::kInvalidResponse:
+      return true;
+    case AttemptOutcome::kNotSent:
+    case AttemptOutcome::kWrongUpstream:
+    case AttemptOutcome::kBroken:
+    case AttemptOutcome::kTimedOut:
+      break;
+  }
+  return false;
+}
+
 }  // namespace
 
 void Reducer::Dispatch(Request& request) {
@@ -112,7 +130,7 @@
   ++request.send_count;
   request.attempt =
       Request::Attempt{id, upstream.entry.id, AttemptTimeoutAt(request)};
-  upstream.OnAttemptStarted(request.expected_tokens);
+  upstream.OnAttemptStarted(request.expected_tokens, m_now);
   StartAttempt start;
   start.request = request.arrival.request;
   start.attempt = id;
@@ -227,6 +245,9 @@
       request->attempt->id != event.attempt) {
     return;
   }
+  if (Upstream* upstream = m_state.upstreams.Find(request->attempt->upstream)) {
+    upstream->OnResponse();
+  }
   request->response_started = true;
   request->attempt->response_started = true;
   request->attempt->timeout_at.reset();
@@ -262,6 +283,9 @@
   if (upstream == nullptr) {
     return;
   }
+  if (IsResponse(event.outcome)) {
+    upstream->OnResponse();
+  }
   if (event.outcome == AttemptOutcome::kBroken) {
     // The hash includes the start time, so that an upstream counts as another
     // one after a restart.
@@ -287,9 +311,11 @@
     case AttemptOutcome::kErrorResponse:
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kInvalidResponse:
-    case AttemptOutcome::kTimedOut:
       upstream->RecordFailure(/*unreachable=*/false, m_now, m_state.options);
       return;
+    case AttemptOutcome::kTimedOut:
+      upstream->RecordTimeout(m_now, m_state.options);
+      return;
   }
 }
 
--- a/packages/core/src/forwarding/upstream.cc
+++ b/packages/core/src/forwarding/upstream.cc
@@ -12,10 +12,18 @@
 /// Consecutive failures after which a reachable upstream is suspended.
 constexpr std::uint32_t kFailureLimit = 3;
 
+/// A sound upstream may be silent for about a second.
+constexpr std::chrono::milliseconds kMaxSoundSilence{1500};
+
 /// A restarted upstream may serve requests for this long before this daemon
 /// reads its new registry entry.
 constexpr std::chrono::seconds kMaxRegistrationDelay{3};
 
+/// @return a share of failures with one more failure
+double AddFailure(double share) {
+  return share * (1 - kFailureWeight) + kFailureWeight;
+}
+
 }  // namespace
 
 UpstreamNotice UpstreamNotice::AfterRestart(MonotonicTime now) const {
@@ -43,7 +51,7 @@
                              MonotonicTime now,
                              const Options& options) {
   ++consecutive_failures;
-  failure_share = failure_share * (1 - kFailureWeight) + kFailureWeight;
+  failure_share = AddFailure(failure_share);
   const std::uint32_t limit = unreachable ? 1 : kFailureLimit;
   if (consecutive_failures < limit) {
     return;
@@ -54,4 +62,12 @@
                                    options.max_suspend_time);
 }
 
+void Upstream::RecordTimeout(MonotonicTime now, const Options& options) {
+  if (silent_since && now - *silent_since > kMaxSoundSilence) {
+    RecordFailure(/*unreachable=*/false, now, options);
+    return;
+  }
+  failure_share = AddFailure(failure_share);
+}
+
 }  // namespace jasminehatch::forwarding
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -176,6 +176,53 @@
   CHECK(OnlyStart(effects).upstream != first);
 }
 
+// Guards against a sound upstream that is suspended, or is said to have
+// crashed, because short attempts timed out while it was silent for a second.
+TEST(ForwardingStep, ASilentSecondSuspendsNoUpstream) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  const auto time_out_four_attempts = [&] {
+    fixture.Confirm();
+    for (int i = 0; i < 4; ++i) {
+      OnlyStart(fixture.Send("/again/"));
+    }
+    fixture.Wait(800ms);
+    const auto effects = fixture.Apply(TimerFired{});
+    UNSIGNED_LONGS_EQUAL(4, EffectsOf<CancelAttempt>(effects).size());
+    CHECK(EffectsOf<ShareCrashReport>(effects).empty());
+  };
+  const auto is_suspended = [&] {
+    const auto until =
+        fixture.CurrentState().upstreams.Find("u1")->suspended_until;
+    return until && fixture.Now() < *until;
+  };
+  time_out_four_attempts();
+  CHECK_FALSE(is_suspended());
+  OnlyStart(fixture.Send("/once/"));
+  fixture.End(AttemptOutcome::kCompleted);
+  time_out_four_attempts();
+  CHECK_FALSE(is_suspended());
+  // One that stays silent is suspended.
+  time_out_four_attempts();
+  CHECK(is_suspended());
+}
+
+// Guards against giving up or resuming a stream, or a request that may run only
+// once, because the upstream is silent for a second.
+TEST(ForwardingStep, ASilentSecondEndsNoStreamAndNoSingleAttempt) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  fixture.AddUpstream("e1", "engine", 1);
+  fixture.AddUpstream("e2", "engine", 1);
+  fixture.Send("/once/", "key-a", 4s);
+  const StartAttempt stream = OnlyStart(fixture.Send("/resume/", "key-a", 5s));
+  fixture.Wait(1400ms);
+  CHECK(fixture.Apply(TimerFired{}).empty());
+  fixture.Apply(ResponseStarted{fixture.NewestRequest(), stream.attempt});
+  fixture.Wait(2s);
+  CHECK(fixture.Apply(TimerFired{}).empty());
+}
+
 // Guards against a response after the deadline of the caller or the route.
 TEST(ForwardingStep, EndsARequestAtItsDeadline) {
   ForwardingFixture fixture;
