Quarantine prompt parts that crash upstreams

What callers saw: one part of a prompt crashed each upstream that began to answer a request with it. Each crash broke 15 to 97 other streams off, and the crashes went on for as long as such requests came; sound callers got 502 and 503.

Cause: crash suspects are whole requests, found by their fingerprint. No two of these requests are alike, so none was ever refused, and each was retried.

Fix: the shared parts of such a request are suspected. Any answer to a request with a part discards the evidence, so parts of sound requests stay in use. Three crashes of different requests at different moments quarantine the part; crashes of one moment (a rack) or of one repeated request count half. Time-outs, garbled responses and broken streams are no evidence. The quarantine takes effect after 0.6 s, in which daemons that have seen an answer release the part. A quarantined part that is explained by another one is not refused; rare probes find parts that are sound. Suspects are not retried. Whole requests are refused as before.

The tests failed without the recording of parts (MakeCrashReport leaving them out; the former code has no interface for parts): part_suspects_test.cc:102: Failure in APartThatCrashedThreeUpstreamsIsRefused CHECK(IsRefusedAsSuspect(fixture.SendParts({"common", "deadly"}))) failed part_suspects_test.cc:122: Failure in ARequestWithASuspectedPartIsNotRetried CHECK(EffectsOf<StartAttempt>(effects).empty()) failed part_suspects_test.cc:141: Failure in ARejectedRequestWithAQuarantinedPartIsNotSentAgain CHECK(EffectsOf<StartAttempt>(effects).empty()) failed

--- a/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/serving/crash_table.h"
@@ -14,6 +15,11 @@
 struct CrashReport {
   std::uint64_t fingerprint = 0;  ///< Of the request.
   std::uint64_t upstream = 0;     ///< Hash of the upstream's id and start time.
+  /// Hashes of the prompt parts that other requests share, if the upstream had
+  /// begun to answer the request and sent no event. Otherwise empty.
+  std::vector<std::uint64_t> parts;
+  std::uint64_t own_part = 0;  ///< Hash of the part that no other one shares.
+  Duration age{};              ///< Since the crash.
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -15,6 +15,7 @@
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/part_verdict.h"
 #include "jasminehatch/detail/forwarding/publication_age.h"
 
 namespace jasminehatch::forwarding {
@@ -184,6 +185,8 @@
   AttemptOutcome outcome = AttemptOutcome::kCompleted;
   std::string last_event;  ///< Id of the last complete event of a stream.
   std::string detail;      ///< For logs.
+  /// Whether the upstream sent the head of a success response.
+  bool response_begun = false;
 };
 
 /// The numbers of other daemons changed.
@@ -197,6 +200,11 @@
   CrashReport report;
 };
 
+/// A verdict on a prompt part was received from another daemon.
+struct PartVerdictReceived {
+  PartVerdict verdict;
+};
+
 /// The time returned by `State::NextTimer` was reached.
 struct TimerFired {};
 
@@ -224,6 +232,7 @@
                            PeerLoadReceived,
                            PeerCountsChanged,
                            CrashReportReceived,
+                           PartVerdictReceived,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -32,7 +32,9 @@
   bool private_cache = false;  ///< `Workspace::private_cache`.
   int priority = 5;
   std::uint64_t expected_tokens = 0;  ///< Expected memory, in tokens.
-  std::string service;                ///< Service of the latest attempt.
+  /// Hashes of the ids of the prompt parts that other requests share.
+  std::vector<std::uint64_t> shared_parts;
+  std::string service;  ///< Service of the latest attempt.
   MonotonicTime arrived_at{};
   MonotonicTime deadline{};
   MonotonicTime timer{};  ///< Time of the entry in `State::timers`.
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -16,6 +16,7 @@
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/part_suspects.h"
 #include "jasminehatch/detail/forwarding/request.h"
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
 #include "jasminehatch/detail/forwarding/route_table.h"
@@ -36,6 +37,7 @@
   CacheStores stores;
   FleetLoad fleet;
   CrashSuspects crashes;
+  PartSuspects part_suspects;
   std::unordered_map<RequestId, Request> requests;
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -29,6 +29,10 @@
 /// target.
 constexpr std::chrono::milliseconds kMinStreamTimeout{1500};
 
+/// Maximum number of prompt parts in a crash report, which limits the size of
+/// gossip messages.
+constexpr std::size_t kMaxReportedParts = 32;
+
 /// Adds up the fetched and saved tokens, for the log.
 void AddCacheTokens(const Prompt& prompt,
                     const CachePlan& plan,
@@ -58,6 +62,29 @@
   return false;
 }
 
+/// @param attempt the attempt whose connection to `upstream` was lost
+CrashReport MakeCrashReport(const Request& request,
+                            const AttemptEnded& attempt,
+                            const Upstream& upstream) {
+  // The hash includes the start time, so that an upstream counts as another one
+  // after a restart.
+  const UpstreamEntry& entry = upstream.entry;
+  CrashReport report;
+  report.fingerprint = request.arrival.fingerprint;
+  report.upstream = StableHash(entry.id, entry.started_at);
+  // Requests that have received an event did not cause the crash, and those
+  // that wait for the head were not being answered.
+  if (attempt.response_begun && !request.attempt->response_started &&
+      !request.shared_parts.empty()) {
+    const auto& parts = request.shared_parts;
+    report.parts.assign(parts.end() - static_cast<std::ptrdiff_t>(std::min(
+                                          parts.size(), kMaxReportedParts)),
+                        parts.end());
+    report.own_part = StableHash(request.arrival.prompt->parts.back().id);
+  }
+  return report;
+}
+
 }  // namespace
 
 void Reducer::Dispatch(Request& request) {
@@ -124,6 +151,20 @@
   Log(request, event, std::move(fields));
 }
 
+void Reducer::LogSuspectedParts(const Request& request) {
+  std::string ids;
+  std::string hashes;
+  for (std::size_t i = 0; i < request.shared_parts.size(); ++i) {
+    const char* separator = i == 0 ? "" : ",";
+    ids += separator + request.arrival.prompt->parts[i].id;
+    hashes += separator + std::to_string(request.shared_parts[i]);
+  }
+  Log(request, "parts_suspected",
+      {{"upstream", request.attempt->upstream},
+       {"part_ids", std::move(ids)},
+       {"parts", std::move(hashes)}});
+}
+
 void Reducer::StartOn(Request& request, const Placement& placement) {
   Upstream& upstream = *placement.upstream;
   const AttemptId id{m_state.next_attempt++};
@@ -252,6 +293,7 @@
   request->attempt->response_started = true;
   request->attempt->timeout_at.reset();
   SetTimer(*request);
+  RecordAnswer(*request);
 }
 
 void Reducer::EndAttempt(Request& request) {
@@ -287,15 +329,18 @@
     upstream->OnResponse();
   }
   if (event.outcome == AttemptOutcome::kBroken) {
-    // The hash includes the start time, so that an upstream counts as another
-    // one after a restart.
-    const UpstreamEntry& entry = upstream->entry;
-    RecordCrash(
-        {request.arrival.fingerprint, StableHash(entry.id, entry.started_at)});
+    const CrashReport report = MakeCrashReport(request, event, *upstream);
+    if (!report.parts.empty()) {
+      LogSuspectedParts(request);
+    }
+    RecordCrash(report);
   }
   switch (event.outcome) {
     case AttemptOutcome::kCompleted:
       upstream->RecordSuccess();
+      if (event.response_begun) {
+        RecordAnswer(request);
+      }
       return;
     case AttemptOutcome::kNotRun:
       upstream->paused_until = m_now + PauseAfterRejection(request, *upstream);
@@ -365,6 +410,11 @@
       RefuseIfCrashSuspect(request)) {
     return;
   }
+  if (event.outcome == AttemptOutcome::kBroken && event.response_begun &&
+      m_state.part_suspects.MayCrashAgain(request.shared_parts, m_now)) {
+    Refuse(request, RefusalCode::kUpstreamFailed, event.detail);
+    return;
+  }
   if (request.IsRepeatable() && request.run_count < request.route->attempts &&
       Retry(request, Counter::kRetryStreamBroken, event.detail)) {
     return;
@@ -384,7 +434,8 @@
 bool Reducer::Retry(Request& request,
                     Counter reason,
                     const std::string& detail) {
-  if (request.deadline - m_now < kMinAttemptTime) {
+  if (request.deadline - m_now < kMinAttemptTime ||
+      m_state.part_suspects.RefusalTimeLeft(request.shared_parts, m_now)) {
     return false;
   }
   const Placement placement = ChooseUpstream(m_state, request, m_now);
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -79,8 +79,13 @@
   void Apply(const PeerCountsChanged& event) {
     m_state.fleet.SetPeerCount(event.count);
     m_state.retries.SetDaemons(event.recent + 1);
+    m_state.part_suspects.SetDaemons(event.recent + 1);
   }
   void Apply(const CrashReportReceived& event) { RecordCrash(event.report); }
+  void Apply(const PartVerdictReceived& event) {
+    m_state.part_suspects.Merge(event.verdict, m_now);
+    ReportPartVerdicts();
+  }
   void Apply(const TimerFired& event);
 
   Effects TakeEffects() { return std::move(m_effects); }
@@ -108,9 +113,23 @@
   void ChooseService(Request& request);
   /// Records a crash report, and broadcasts it if it is new.
   void RecordCrash(const CrashReport& report);
-  /// Refuses the request if identical ones crashed too many upstreams.
+  void RecordAnswer(const Request& request) {
+    m_state.part_suspects.RecordAnswer(request.shared_parts, m_now);
+    ReportPartVerdicts();
+  }
+  /// Logs the prompt parts of a request whose upstream crashed as it began to
+  /// answer.
+  void LogSuspectedParts(const Request& request);
+  /// Counts and logs the verdicts that this daemon has just reached.
+  void ReportPartVerdicts();
+  std::optional<Duration> CrashRefusalTimeLeft(const Request& request) const;
+  /// Refuses the request if identical ones, or others with one of its prompt
+  /// parts, crashed too many upstreams.
   /// @return whether it was refused
   bool RefuseIfCrashSuspect(Request& request);
+  /// @return whether the request is let through although one of its prompt
+  /// parts is quarantined
+  bool TryProbe(const Request& request);
   void Dispatch(Request& request);
   void StartOn(Request& request, const Placement& placement);
   CachePlan MakeCachePlan(const Request& request, const Placement& placement);
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
@@ -29,6 +30,16 @@
   return std::uint64_t{prompt.prompt_tokens} + output;
 }
 
+/// @return hashes of the parts, except the last one, which is not shared
+std::vector<std::uint64_t> HashSharedParts(
+    const std::optional<Prompt>& prompt) {
+  std::vector<std::uint64_t> hashes;
+  for (std::size_t i = 0; prompt && i + 1 < prompt->parts.size(); ++i) {
+    hashes.push_back(StableHash(prompt->parts[i].id));
+  }
+  return hashes;
+}
+
 }  // namespace
 
 std::string Milliseconds(Duration duration) {
@@ -56,6 +67,7 @@
   request.arrived_at = m_now;
   request.last_event = event.resume_after;
   request.expected_tokens = event.prompt ? ExpectedTokens(*event.prompt) : 0;
+  request.shared_parts = HashSharedParts(event.prompt);
   request.deadline = m_now + event.time_left.value_or(kDefaultTimeout);
   if (!m_state.table) {
     Refuse(request, RefusalCode::kConfigurationStale,
@@ -71,7 +83,7 @@
     request.deadline =
         std::min(request.deadline, m_now + request.route->timeout);
   }
-  if (RefuseIfCrashSuspect(request)) {
+  if (!TryProbe(request) && RefuseIfCrashSuspect(request)) {
     return;
   }
   ChooseService(request);
@@ -132,23 +144,60 @@
 }
 
 void Reducer::RecordCrash(const CrashReport& report) {
-  if (m_state.crashes.Record(report, m_now)) {
+  const bool new_request = m_state.crashes.Record(report, m_now);
+  const bool new_parts = m_state.part_suspects.RecordCrash(report, m_now);
+  if (new_request || new_parts) {
     m_effects.emplace_back(ShareCrashReport{report});
   }
+  ReportPartVerdicts();
 }
 
-bool Reducer::RefuseIfCrashSuspect(Request& request) {
+void Reducer::ReportPartVerdicts() {
+  for (const PartVerdict& verdict : m_state.part_suspects.TakeChanges()) {
+    const bool quarantine = verdict.IsQuarantine();
+    m_effects.emplace_back(CountEvent{quarantine ? Counter::kPartQuarantined
+                                                 : Counter::kPartReleased});
+    m_effects.emplace_back(
+        LogDecision{quarantine ? "part_quarantined" : "part_released",
+                    {},
+                    {{"part", std::to_string(verdict.part)},
+                     {"epoch", std::to_string(verdict.epoch)},
+                     {"evidence_age_ms", Milliseconds(verdict.evidence_age)}}});
+  }
+}
+
+std::optional<Duration> Reducer::CrashRefusalTimeLeft(
+    const Request& request) const {
   const auto left =
       m_state.crashes.RefusalTimeLeft(request.arrival.fingerprint, m_now);
+  return left ? left
+              : m_state.part_suspects.RefusalTimeLeft(request.shared_parts,
+                                                      m_now);
+}
+
+bool Reducer::RefuseIfCrashSuspect(Request& request) {
+  const auto left = CrashRefusalTimeLeft(request);
   if (!left) {
     return false;
   }
   Refuse(request, RefusalCode::kCrashSuspect,
-         "identical requests crashed upstreams; refused for another " +
+         "identical requests, or others with one of the prompt parts, crashed "
+         "upstreams; refused for another " +
              Milliseconds(*left) + " ms");
   return true;
 }
 
+bool Reducer::TryProbe(const Request& request) {
+  if (m_state.crashes.RefusalTimeLeft(request.arrival.fingerprint, m_now) ||
+      !m_state.part_suspects.TryProbe(request.shared_parts,
+                                      request.arrival.random, m_now)) {
+    return false;
+  }
+  m_effects.emplace_back(CountEvent{Counter::kPartProbed});
+  Log(request, "part_probed", {});
+  return true;
+}
+
 void Reducer::Apply(const CallerDisconnected& event) {
   Request* request = Find(event.request);
   if (request == nullptr) {
@@ -186,8 +235,7 @@
   if (Describe(code).retry_can_help && !may_have_run) {
     refusal.retry_after = RetryAfter(request);
     if (code == RefusalCode::kCrashSuspect) {
-      refusal.retry_after =
-          m_state.crashes.RefusalTimeLeft(request.arrival.fingerprint, m_now);
+      refusal.retry_after = CrashRefusalTimeLeft(request);
     }
   }
   m_effects.emplace_back(std::move(refusal));
--- a/packages/core/tests/forwarding_fixture.cc
+++ b/packages/core/tests/forwarding_fixture.cc
@@ -71,20 +71,52 @@
                                 const std::string& key,
                                 Duration time_left) {
   RequestReceived received;
-  received.request = RequestId{m_next_request++};
-  received.caller_id = "request-" + std::to_string(received.request.value);
-  received.host = "front.example";
   received.path = path;
   received.key = key;
   received.time_left = time_left;
   if (path.starts_with("/prompt/") || path.starts_with("/resume/")) {
     received.prompt = MakePrompt();
   }
+  return Receive(std::move(received));
+}
+
+Effects ForwardingFixture::SendParts(
+    const std::vector<std::string>& shared_parts,
+    const std::string& path) {
+  RequestReceived received;
+  received.path = path;
+  received.key = "key-a";
+  received.fingerprint = m_next_request;
+  received.prompt = MakePrompt();
+  received.prompt->parts.clear();
+  for (const std::string& part : shared_parts) {
+    received.prompt->parts.push_back({part, 100});
+  }
+  received.prompt->parts.push_back(
+      {"own-" + std::to_string(m_next_request), 9});
+  return Receive(std::move(received));
+}
+
+Effects ForwardingFixture::Receive(RequestReceived received) {
+  received.request = RequestId{m_next_request++};
+  received.caller_id = "request-" + std::to_string(received.request.value);
+  received.host = "front.example";
   auto effects = Apply(received);
   RecordAttempt(effects);
   return effects;
 }
 
+Effects ForwardingFixture::Crash() {
+  const std::string upstream = m_upstream;
+  AttemptEnded ended{NewestRequest(), m_attempt, AttemptOutcome::kBroken, "",
+                     "test"};
+  ended.response_begun = true;
+  auto effects = Apply(ended);
+  RecordAttempt(effects);
+  Apply(UpstreamRemoved{upstream});
+  return effects;
+}
+
 Effects ForwardingFixture::End(AttemptOutcome outcome,
                                const std::string& last_event) {
   auto effects = Apply(
@@ -96,6 +128,7 @@
 void ForwardingFixture::RecordAttempt(const Effects& effects) {
   for (const StartAttempt& start : EffectsOf<StartAttempt>(effects)) {
     m_attempt = start.attempt;
+    m_upstream = start.upstream;
   }
 }
 
--- a/packages/core/tests/forwarding_fixture.h
+++ b/packages/core/tests/forwarding_fixture.h
@@ -38,10 +38,27 @@
                const std::string& key = "key-a",
                Duration time_left = std::chrono::seconds(2));
 
+  /// Applies the arrival of a request with these shared parts and a part of its
+  /// own.
+  /// @return the effects
+  Effects SendParts(const std::vector<std::string>& shared_parts,
+                    const std::string& path = "/prompt/");
+
   /// Ends the latest attempt of the latest request.
   /// @return the effects
   Effects End(AttemptOutcome outcome, const std::string& last_event = "");
 
+  /// Ends the latest attempt of the latest request as if its upstream had
+  /// crashed after the head of the response, and removes the upstream.
+  /// @return the effects of the end
+  Effects Crash();
+
+  /// Answers the latest attempt of the latest request with its first event.
+  /// @return the effects
+  Effects Answer() {
+    return Apply(ResponseStarted{NewestRequest(), m_attempt});
+  }
+
   void AddUpstream(const std::string& id,
                    const std::string& service,
                    std::uint64_t weights = 0);
@@ -59,12 +76,14 @@
   RequestId NewestRequest() const { return RequestId{m_next_request - 1}; }
 
  private:
+  Effects Receive(RequestReceived received);
   void RecordAttempt(const Effects& effects);
 
   State m_state;
   MonotonicTime m_now{std::chrono::hours(1)};
   std::uint64_t m_next_request = 1;
   AttemptId m_attempt;
+  std::string m_upstream;  ///< Of the latest attempt.
 };
 
 }  // namespace jasminehatch::forwarding::test
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -394,7 +394,8 @@
     m_log.Write(DecisionLog::Level::kNotable, "attempt_failed", fields);
   }
   Apply(forwarding::AttemptEnded{id, active.attempt, outcome,
-                                 active.last_event_id, std::move(detail)});
+                                 active.last_event_id, std::move(detail),
+                                 active.head.status / 100 == 2});
 }
 
 void ForwardingHost::Execute(const forwarding::CancelAttempt& effect) {
