Share suspected prompt parts and quarantines between daemons

Cause: crash reports carried the fingerprint of a request only, and were repeated for half a second; a daemon that started later learned nothing.

Fix: reports carry the shared parts and the age of the crash. Verdicts are in each gossip message with their ages, so that a lost message, a restart of a daemon or a relay neither loses nor prolongs a quarantine. Earlier daemons ignore the new fields.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -9,6 +9,7 @@
 
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
+#include "jasminehatch/detail/forwarding/part_verdict.h"
 #include "jasminehatch/detail/forwarding/publication_age.h"
 
 namespace jasminehatch::codec {
@@ -51,6 +52,7 @@
   bool stopping = false;  ///< The sender was asked to stop.
   /// Ages of published weight versions when the message was sent.
   std::vector<forwarding::PublicationAge> publications;
+  std::vector<forwarding::PartVerdict> part_verdicts;
 
   /// @return the message as MessagePack
   std::string Encode() const;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/json/read_integer.h"
@@ -25,6 +26,58 @@
 constexpr std::size_t kCapacityIndex = 14;
 constexpr std::size_t kStoppingIndex = 15;
 constexpr std::size_t kPublicationsIndex = 16;
+constexpr std::size_t kPartVerdictsIndex = 17;
+
+/// A crash report without prompt parts has this number of elements; later
+/// daemons append the parts, which earlier ones ignore.
+constexpr std::size_t kShortCrashReportSize = 2;
+
+std::int64_t AgeInMilliseconds(Duration age) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+             std::max(age, Duration::zero()))
+      .count();
+}
+
+Duration DecodeAge(const json& value) {
+  return std::chrono::milliseconds(ReadMilliseconds(value));
+}
+
+json EncodeCrashReport(const forwarding::CrashReport& report) {
+  json encoded = json::array({report.fingerprint, report.upstream});
+  if (!report.parts.empty()) {
+    encoded.push_back(report.own_part);
+    encoded.push_back(report.parts);
+    encoded.push_back(AgeInMilliseconds(report.age));
+  }
+  return encoded;
+}
+
+forwarding::CrashReport DecodeCrashReport(const json& entry) {
+  forwarding::CrashReport report;
+  report.fingerprint = ReadInteger<std::uint64_t>(entry.at(0));
+  report.upstream = ReadInteger<std::uint64_t>(entry.at(1));
+  if (entry.size() > kShortCrashReportSize) {
+    report.own_part = ReadInteger<std::uint64_t>(entry.at(2));
+    for (const json& part : entry.at(3)) {
+      report.parts.push_back(ReadInteger<std::uint64_t>(part));
+    }
+    report.age = DecodeAge(entry.at(4));
+  }
+  return report;
+}
+
+json EncodePartVerdict(const forwarding::PartVerdict& verdict) {
+  return json::array({verdict.part, verdict.epoch, verdict.probes,
+                      AgeInMilliseconds(verdict.age),
+                      AgeInMilliseconds(verdict.evidence_age)});
+}
+
+forwarding::PartVerdict DecodePartVerdict(const json& entry) {
+  return {ReadInteger<std::uint64_t>(entry.at(0)),
+          ReadInteger<std::uint32_t>(entry.at(1)),
+          ReadInteger<std::uint32_t>(entry.at(2)), DecodeAge(entry.at(3)),
+          DecodeAge(entry.at(4))};
+}
 
 double DecodeCapacity(const json& value) {
   const double capacity = value.is_number() ? value.get<double>() : 0;
@@ -40,16 +93,9 @@
           ReadInteger<std::uint64_t>(entry.at(2)), entry.at(3).get<bool>()};
 }
 
-std::int64_t AgeInMilliseconds(Duration age) {
-  return std::chrono::ceil<std::chrono::milliseconds>(
-             std::max(age, Duration::zero()))
-      .count();
-}
-
 forwarding::PublicationAge DecodePublication(const json& entry) {
   return {entry.at(0).get<std::string>(),
-          ReadInteger<std::uint64_t>(entry.at(1)),
-          std::chrono::milliseconds(ReadMilliseconds(entry.at(2))),
+          ReadInteger<std::uint64_t>(entry.at(1)), DecodeAge(entry.at(2)),
           entry.at(3).get<bool>()};
 }
 
@@ -68,8 +114,11 @@
   }
   json encoded_crashes = json::array();
   for (const forwarding::CrashReport& report : crash_reports) {
-    encoded_crashes.push_back(
-        json::array({report.fingerprint, report.upstream}));
+    encoded_crashes.push_back(EncodeCrashReport(report));
+  }
+  json encoded_verdicts = json::array();
+  for (const forwarding::PartVerdict& verdict : part_verdicts) {
+    encoded_verdicts.push_back(EncodePartVerdict(verdict));
   }
   json encoded_publications = json::array();
   for (const forwarding::PublicationAge& publication : publications) {
@@ -84,7 +133,7 @@
        freshness_proof_age_ms ? json(*freshness_proof_age_ms) : json(),
        std::move(encoded_crashes), covers_zone,
        capacity ? json(*capacity) : json(), stopping,
-       std::move(encoded_publications)});
+       std::move(encoded_publications), std::move(encoded_verdicts)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -115,9 +164,7 @@
       decoded.freshness_proof_age_ms = ReadMilliseconds(message.at(11));
     }
     for (const json& entry : message.at(12)) {
-      decoded.crash_reports.push_back(
-          {ReadInteger<std::uint64_t>(entry.at(0)),
-           ReadInteger<std::uint64_t>(entry.at(1))});
+      decoded.crash_reports.push_back(DecodeCrashReport(entry));
     }
     decoded.covers_zone = message.at(13).get<bool>();
     if (message.size() > kCapacityIndex &&
@@ -132,6 +179,11 @@
         decoded.publications.push_back(DecodePublication(entry));
       }
     }
+    if (message.size() > kPartVerdictsIndex) {
+      for (const json& entry : message.at(kPartVerdictsIndex)) {
+        decoded.part_verdicts.push_back(DecodePartVerdict(entry));
+      }
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -1,5 +1,6 @@
 #include <jasminehatch/codec.h>
 
+#include <chrono>
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -13,6 +14,7 @@
 
 using namespace jasminehatch;
 using namespace jasminehatch::codec;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -37,8 +39,9 @@
   message.freshness_proof_age_ms = 10;
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
-  message.crash_reports = {{15, 16}};
+  message.crash_reports = {{15, 16, {17, 18}, 19, 20ms}};
   message.publications = {{"m", 17, std::chrono::milliseconds(18), true}};
+  message.part_verdicts = {{21, 22, 23, 24ms, 25ms}};
   return message;
 }
 
@@ -100,7 +103,8 @@
   message.freshness_proof_age_ms = 10;
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
-  message.crash_reports = {{15, 16}};
+  message.crash_reports = {{15, 16}, {15, 16, {17, 18}, 19, 20ms}};
+  message.part_verdicts = {{21, 22, 23, 24ms, 25ms}};
   message.covers_zone = true;
   message.stopping = true;
   message.publications = {{"m", 17, std::chrono::milliseconds(18), true},
@@ -119,13 +123,28 @@
   UNSIGNED_LONGS_EQUAL(14, decoded.weights_updates.at(0).version);
   CHECK(decoded.weights_updates.at(0).loading);
   CHECK(decoded.covers_zone);
-  CHECK(decoded.crash_reports.at(0) == (forwarding::CrashReport{15, 16}));
+  CHECK(decoded.crash_reports == message.crash_reports);
   CHECK(decoded.stopping);
   CHECK(decoded.publications == message.publications);
+  CHECK(decoded.part_verdicts == message.part_verdicts);
   message.freshness_proof_age_ms.reset();
   CHECK_FALSE(GossipMessage::Decode(message.Encode()).freshness_proof_age_ms);
 }
 
+// Guards against ignoring the crash reports of daemons that run an earlier
+// version during an upgrade.
+TEST(ForwarderCodec, GossipOfAnEarlierVersionIsAccepted) {
+  GossipMessage message;
+  message.crash_reports = {{15, 16}};
+  auto encoded = nlohmann::json::from_msgpack(message.Encode());
+  encoded.erase(encoded.size() - 1);
+  std::string bytes;
+  nlohmann::json::to_msgpack(encoded, bytes);
+  const auto decoded = GossipMessage::Decode(bytes);
+  CHECK(decoded.crash_reports == message.crash_reports);
+  CHECK(decoded.part_verdicts.empty());
+}
+
 // Guards against a crash on malformed input.
 TEST(ForwarderCodec, MalformedInputIsRejected) {
   const std::string good = GossipMessage{}.Encode();
@@ -147,7 +166,7 @@
        {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
         nlohmann::json("1")}) {
     const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(15, variants.size());
+    UNSIGNED_LONGS_EQUAL(24, variants.size());
     for (const nlohmann::json& variant : variants) {
       std::string encoded;
       nlohmann::json::to_msgpack(variant, encoded);
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -271,6 +271,9 @@
   for (const forwarding::PublicationAge& publication : message.publications) {
     m_host.Apply(forwarding::PublicationAgeReceived{publication});
   }
+  for (const forwarding::PartVerdict& verdict : message.part_verdicts) {
+    m_host.Apply(forwarding::PartVerdictReceived{verdict});
+  }
   for (const codec::WeightsUpdate& update : message.weights_updates) {
     if (!update.loading) {
       m_host.Apply(forwarding::WeightsObserved{update.upstream, update.model,
@@ -407,7 +410,13 @@
   }
   for (const PendingCrashReport& pending : m_crash_reports) {
     message.crash_reports.push_back(pending.report);
+    // The age is that at the first broadcast.
+    message.crash_reports.back().age +=
+        now - (pending.until - kCrashReportRepeatTime);
   }
+  // Verdicts are in each message, so that a lost message does not matter and a
+  // daemon that has restarted learns them at once.
+  message.part_verdicts = m_host.State().part_suspects.Verdicts(now);
   message.sent_ms = static_cast<std::uint64_t>(
       std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
   if (const auto proof = m_get_own_proof ? m_get_own_proof() : std::nullopt) {
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -3,8 +3,10 @@
 #include <jasminehatch/platform.h>
 #include <jasminehatch/telemetry.h>
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -115,13 +117,13 @@
 // published long before.
 TEST(PeerGossip, AStartingDaemonLearnsOldPublicationAges) {
   GossipFixture fixture;
-  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   forwarding::Options options;
   options.version_hard_limit = 1ms;
   left.host.Apply(forwarding::OptionsChanged{options});
   left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
   fixture.loop.run_for(50ms);
-  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
   CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
 }
@@ -130,8 +132,8 @@
 // does not learn how long ago that was.
 TEST(PeerGossip, YoungPublicationAgesAreRepeated) {
   GossipFixture fixture;
-  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
   // Longer than `left` treats `right` as new.
   fixture.loop.run_for(2500ms);
@@ -144,10 +146,10 @@
 // were published fall silent before the first one has restarted.
 TEST(PeerGossip, AStoppingDaemonStillTellsPublicationAges) {
   GossipFixture fixture;
-  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
   left.gossip.AnnounceStop();
-  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
   CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
   UNSIGNED_LONGS_EQUAL(0, right.gossip.LivePeerCount());
@@ -157,8 +159,8 @@
 // count in their ranks.
 TEST(PeerGossip, AStoppingDaemonIsNotLive) {
   GossipFixture fixture;
-  Node left(fixture, "left", emulator::FreeUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", emulator::FreeUdpAddress(fixture.loop), 6);
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] {
     return left.gossip.LivePeerCount() == 1 &&
            right.gossip.LivePeerCount() == 1;
@@ -170,3 +172,47 @@
   UNSIGNED_LONGS_EQUAL(0, right.gossip.LiveZonePeers().size());
   UNSIGNED_LONGS_EQUAL(1, left.gossip.LivePeerCount());
 }
+
+// Guards against requests with a part that crashes upstreams at daemons that
+// have seen no crash, or have restarted since.
+TEST(PeerGossip, DaemonsLearnWhichPartsAreQuarantined) {
+  constexpr std::uint64_t kPart = 7;
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  const auto refuses = [&](const Node& node) {
+    const std::array parts{kPart};
+    return node.host.State()
+        .part_suspects.RefusalTimeLeft(parts, fixture.clock.Now())
+        .has_value();
+  };
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    left.host.Apply(forwarding::CrashReportReceived{
+        {crash, crash, {kPart}, crash, 10s - crash * 1s}});
+  }
+  const std::string address = fixture.loopback.NewUdpAddress(fixture.loop);
+  auto right = std::make_unique<Node>(fixture, "right", address, 1000);
+  CHECK(fixture.RunUntil([&] { return refuses(left) && refuses(*right); }));
+  right->gossip.Stop();
+  // Callbacks of its last calls to the store still refer to it, so it is
+  // destroyed only after the loop has run.
+  fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 0; });
+  right = std::make_unique<Node>(fixture, "right", address, 1001);
+  CHECK(fixture.RunUntil([&] { return refuses(*right); }));
+}
+
+// Guards against crash reports that lose their prompt parts or their age.
+TEST(PeerGossip, CrashReportsCarryThePartsOfTheRequest) {
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  CHECK(fixture.RunUntil([&] {
+    return left.gossip.LivePeerCount() == 1 &&
+           right.gossip.LivePeerCount() == 1;
+  }));
+  // Too old to count.
+  right.gossip.Broadcast(forwarding::CrashReport{1, 2, {3}, 4, 1h});
+  right.gossip.Broadcast(forwarding::CrashReport{5, 6, {7, 8}, 9, 1s});
+  CHECK(
+      fixture.RunUntil([&] { return left.host.State().crashes.Size() == 2; }));
+  UNSIGNED_LONGS_EQUAL(2, left.host.State().part_suspects.Size());
+}
