Repeat rejected and unanswered orders half a second later

Cause: one retry time for all orders, made for accepted ones whose effect is late. The daemon had the engine's report (busy, number of orders), but the lease reducer did not get it.

Fix: no order goes to an upstream that reports that it is busy. An order that was rejected is repeated after the longest age of a report, with the number of the last report; so is one with an unknown outcome, if the upstream compares the number and so accepts only one of both.

The test failed before; without the early repeat and without the hold:

lease_session_test.cc:340: error: Failure in TEST(LeaseSession, RejectedOrderIsRepeatedOnceTheUpstreamIsNotBusy) CHECK(was_ordered(8)) failed lease_session_test.cc:327: error: Failure in the same test CHECK(!was_ordered(7)) failed

--- a/packages/core/include/jasminehatch/detail/lease/event.h
+++ b/packages/core/include/jasminehatch/detail/lease/event.h
@@ -44,6 +44,7 @@
   /// Number of orders that the upstream has accepted; empty if the state comes
   /// from a source without it, such as a registry.
   std::optional<std::uint64_t> orders_accepted;
+  bool busy = false;  ///< It carries out an order.
 };
 
 /// An append failed or its outcome is unknown. A successful append is confirmed
@@ -64,10 +65,18 @@
   bool at_end = false;  ///< The log had no further record.
 };
 
+/// @brief How an order ended.
+enum class OrderOutcome : std::uint8_t {
+  kAnswered,  ///< Accepted, or a repeat would have the same answer.
+  kRejected,  ///< Not sent, or the upstream was busy or had another count.
+  kUnknown,   ///< It may have been accepted, or take effect later.
+};
+
 /// The outcome of an order became known, or it is known that none will come.
 struct OrderEnded {
   std::string group;
   std::string upstream;
+  OrderOutcome outcome = OrderOutcome::kAnswered;
 };
 
 /// Whether this daemon wants the lease of a group; it does by default. A lease
--- a/packages/core/include/jasminehatch/detail/lease/hold_reason.h
+++ b/packages/core/include/jasminehatch/detail/lease/hold_reason.h
@@ -9,6 +9,7 @@
 enum class HoldReason : std::uint8_t {
   kNone,
   kNoReport,       ///< No report since the decision.
+  kBusy,           ///< The upstream carries out another order.
   kEarlierOrders,  ///< Orders of an earlier holder may still arrive.
 };
 
--- a/packages/core/include/jasminehatch/detail/lease/options.h
+++ b/packages/core/include/jasminehatch/detail/lease/options.h
@@ -31,6 +31,10 @@
   Duration report_held_after = std::chrono::milliseconds(500);
   /// Time after which an order is repeated whose effect no report shows.
   Duration order_retry = std::chrono::seconds(2);
+  /// Longest age of what a report shows: time after which an order that was
+  /// rejected is repeated, and one with an unknown outcome if the upstream
+  /// compares the number of orders, so that it accepts only one of both.
+  Duration max_report_age = std::chrono::milliseconds(500);
 };
 
 }  // namespace jasminehatch::lease
--- a/packages/core/include/jasminehatch/detail/lease/state.h
+++ b/packages/core/include/jasminehatch/detail/lease/state.h
@@ -23,7 +23,8 @@
   MonotonicTime reported_at{};
   /// From a report since the desired state was set.
   std::optional<std::uint64_t> orders_accepted;
-  std::optional<MonotonicTime> ordered_at;
+  std::optional<MonotonicTime> retry_at;  ///< Empty before the first order.
+  bool busy = false;
   HoldReason hold_reason = HoldReason::kNone;
   MonotonicTime held_since{};
   bool hold_reported = false;  ///< `OrderHeld` was sent for the reason.
--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -60,6 +60,7 @@
   Effects TakeEffects() { return std::move(m_effects); }
 
  private:
+  void RepeatSoon(Group& group, const OrderEnded& event);
   void Accept(Group& group, std::uint64_t offset, const LeaseRecord& record);
   void AppendClaim(const std::string& name, Group& group);
   void AppendRelease(const std::string& name, Group& group);
@@ -94,7 +95,7 @@
   Upstream& upstream = m_state.groups[event.group].upstreams[event.upstream];
   if (upstream.desired != event.desired) {
     upstream.desired = event.desired;
-    upstream.ordered_at.reset();
+    upstream.retry_at.reset();
     upstream.orders_accepted.reset();
   }
 }
@@ -103,6 +104,7 @@
   Upstream& upstream = m_state.groups[event.group].upstreams[event.upstream];
   upstream.reported = event.reported;
   upstream.reported_at = m_now;
+  upstream.busy = event.busy;
   if (event.orders_accepted) {
     upstream.orders_accepted = event.orders_accepted;
   }
@@ -133,6 +135,22 @@
   if (group != m_state.groups.end() && group->second.orders_in_flight > 0) {
     --group->second.orders_in_flight;
     group->second.last_order_at = m_now;
+    RepeatSoon(group->second, event);
+  }
+}
+
+void Reducer::RepeatSoon(Group& group, const OrderEnded& event) {
+  const auto found = group.upstreams.find(event.upstream);
+  if (found == group.upstreams.end()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  const bool repeats =
+      event.outcome == OrderOutcome::kRejected ||
+      (event.outcome == OrderOutcome::kUnknown && upstream.checks_order_count);
+  if (repeats && upstream.retry_at) {
+    upstream.retry_at =
+        std::min(*upstream.retry_at, m_now + m_state.options.max_report_age);
   }
 }
 
@@ -293,13 +311,9 @@
     if (reason != HoldReason::kNone) {
       continue;
     }
-    if (upstream.ordered_at) {
-      const MonotonicTime retry_at =
-          *upstream.ordered_at + m_state.options.order_retry;
-      if (m_now < retry_at) {
-        ScheduleTimer(retry_at);
-        continue;
-      }
+    if (upstream.retry_at && m_now < *upstream.retry_at) {
+      ScheduleTimer(*upstream.retry_at);
+      continue;
     }
     if (!read_recently) {
       if (!std::exchange(m_state.reading, true)) {
@@ -312,6 +326,9 @@
 }
 
 HoldReason Reducer::ReasonToHold(const Group& group, const Upstream& upstream) {
+  if (upstream.busy) {
+    return HoldReason::kBusy;
+  }
   if (upstream.checks_order_count) {
     return upstream.orders_accepted ? HoldReason::kNone : HoldReason::kNoReport;
   }
@@ -373,8 +390,8 @@
     m_effects.emplace_back(std::move(effect));
     ++group.orders_in_flight;
   }
-  upstream.ordered_at = m_now;
-  ScheduleTimer(m_now + m_state.options.order_retry);
+  upstream.retry_at = m_now + m_state.options.order_retry;
+  ScheduleTimer(*upstream.retry_at);
 }
 
 void Reducer::UpdateAllGroups() {
--- a/packages/core/tests/lease_property_test.cc
+++ b/packages/core/tests/lease_property_test.cc
@@ -258,8 +258,9 @@
     }
     message.ended = true;
     Step(message.process,
-         lease::OrderEnded{
-             "group", std::get<lease::SendOrder>(message.effect).upstream});
+         lease::OrderEnded{"group",
+                           std::get<lease::SendOrder>(message.effect).upstream,
+                           lease::OrderOutcome::kUnknown});
   }
 
   /// Checks the time between orders of different processes.
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -303,3 +303,40 @@
   Report("entry-1", "checked");
   CHECK(m_trace.find("order checked") == std::string::npos);
 }
+
+// Guards against an upstream that was busy, or did not answer, and is ordered
+// again only long after it could accept the order, and against orders to one
+// that reports that it is busy.
+TEST(LeaseSession, RejectedOrderIsRepeatedOnceTheUpstreamIsNotBusy) {
+  m_states["entry-1"].self = {"entry-1", 1};
+  Send("entry-1", "starts",
+       lease::UpstreamConfigured{"group", "counting", false, true});
+  Send("entry-1", "counting is to load m2",
+       lease::DesiredChanged{"group", "counting", {"m2", "", false}});
+  Read("entry-1");
+  Read("entry-1");
+  const auto report = [&](std::uint64_t orders, bool busy) {
+    Send("entry-1", "counting reports m1",
+         lease::StateReported{
+             "group", "counting", {"m1", "", false}, orders, busy});
+  };
+  const auto was_ordered = [&](int orders) {
+    return m_trace.find("count " + std::to_string(orders)) != std::string::npos;
+  };
+  report(7, true);
+  CHECK(!was_ordered(7));
+  report(7, false);
+  CHECK(was_ordered(7));
+  for (const auto outcome :
+       {lease::OrderOutcome::kRejected, lease::OrderOutcome::kUnknown}) {
+    Send("entry-1", "order ended",
+         lease::OrderEnded{"group", "counting", outcome});
+    m_trace.clear();
+    Timer("entry-1", 499ms);
+    report(8, true);
+    Timer("entry-1", 1ms);
+    CHECK(!was_ordered(8));
+    report(8, false);
+    CHECK(was_ordered(8));
+  }
+}
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -108,7 +108,6 @@
 
   /// The last report of an upstream.
   struct Report {
-    bool busy = false;
     MonotonicTime queried_at{};
     bool query_pending = false;
     bool received = false;
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -77,12 +77,30 @@
   return state;
 }
 
+lease::OrderOutcome OutcomeOf(platform::OrderResult result) {
+  switch (result) {
+    case platform::OrderResult::kBusy:
+      return lease::OrderOutcome::kRejected;
+    case platform::OrderResult::kUnknown:
+      return lease::OrderOutcome::kUnknown;
+    case platform::OrderResult::kAccepted:
+    case platform::OrderResult::kAlreadyDone:
+    case platform::OrderResult::kFenced:
+    case platform::OrderResult::kInvalid:
+    case platform::OrderResult::kWrongUpstream:
+      break;
+  }
+  return lease::OrderOutcome::kAnswered;
+}
+
 std::string_view NameOf(lease::HoldReason reason) {
   switch (reason) {
     case lease::HoldReason::kNone:
       return "none";
     case lease::HoldReason::kNoReport:
       return "no_report";
+    case lease::HoldReason::kBusy:
+      return "busy";
     case lease::HoldReason::kEarlierOrders:
       return "earlier_orders";
   }
@@ -353,7 +371,6 @@
     return;
   }
   report.received = true;
-  report.busy = response->busy;
   const auto weights = response->weights.find(target->second.model);
   if (weights == response->weights.end()) {
     return;
@@ -364,7 +381,7 @@
   if (m_active) {
     StepLease(lease::StateReported{kLeaseGroup, key,
                                    MakeLeaseState(weights->second),
-                                   response->orders_accepted});
+                                   response->orders_accepted, response->busy});
   }
 }
 
@@ -504,7 +521,8 @@
   const auto target = m_targets.find(effect.upstream);
   if (target == m_targets.end() || m_stopped ||
       m_clock.Now() >= effect.not_after) {
-    StepLease(lease::OrderEnded{kLeaseGroup, effect.upstream});
+    StepLease(lease::OrderEnded{kLeaseGroup, effect.upstream,
+                                lease::OrderOutcome::kRejected});
     return;
   }
   platform::WeightsOrder order;
@@ -530,7 +548,7 @@
 
 void WeightsRollout::OnOrderResponse(const std::string& key,
                                      platform::OrderResult response) {
-  StepLease(lease::OrderEnded{kLeaseGroup, key});
+  StepLease(lease::OrderEnded{kLeaseGroup, key, OutcomeOf(response)});
   const auto target = m_targets.find(key);
   if (target == m_targets.end()) {
     return;
