Count an unframed stream that breaks off as a lost connection

What callers saw: nothing yet; found by the review. Requests could crash one upstream after the other (BUDGET) if the streams had neither a length nor chunks.

Cause: such a stream ends with its connection, also when its upstream crashes. Without an event, or inside one, it was an invalid response, which is no evidence of a crash.

Change: it is a lost connection, as a stream with a length or chunks. Callers see the same as before.

The test failed before: wire_faults_test.cc:429: error: Failure in TEST(WireFaults, AnUnframedStreamThatBreaksOffIsACrash) expected <503 (0x1f7)> but was <502 (0x1f6)>

--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -355,11 +355,13 @@
     return AttemptOutcome::kInvalidResponse;
   }
   if (status / 100 == 2) {
-    // Without a length and chunks, a stream whose upstream stopped before the
-    // first event looks the same as one without events.
-    const bool truncated =
-        active.splitter.PendingBytes() > 0 ||
-        (active.streaming && end.ended_by_close && !active.event_received);
+    const bool truncated = active.splitter.PendingBytes() > 0;
+    // Without a length and chunks, the loss of the connection looks like the
+    // end, also for a stream whose upstream stopped before the first event.
+    if (active.streaming && end.ended_by_close && !metadata.not_run &&
+        (truncated || !active.event_received)) {
+      return AttemptOutcome::kBroken;
+    }
     return metadata.is_signed_and_unencoded && !metadata.not_run && !truncated
                ? AttemptOutcome::kCompleted
                : AttemptOutcome::kInvalidResponse;
--- a/packages/daemon/tests/wire_faults_test.cc
+++ b/packages/daemon/tests/wire_faults_test.cc
@@ -123,13 +123,16 @@
   /// Sends a request whose body no other one has, so that it does not count as
   /// a repetition of one that broke off.
   Response Send(const std::string& path) {
+    return Send(path, "question " + std::to_string(m_next_request));
+  }
+  Response Send(const std::string& path, const std::string& body) {
     const std::string number = std::to_string(m_next_request++);
     auto response = std::make_shared<Response>();
     net::StreamCall call;
     call.address = m_settings.address;
     call.method = "POST";
     call.target = path;
-    call.body = "question " + number;
+    call.body = body;
     call.headers = {{"Host", "h.example"},
                     {"X-Request-Id", "request-" + number},
                     {"X-Deadline-Ms", "2500"}};
@@ -411,6 +414,22 @@
   LONGS_EQUAL(502, fixture.Send("/stream/x").head.status);
 }
 
+// Guards against requests that crash one upstream after the other because the
+// end of an unframed stream does not count as a lost connection (BUDGET).
+TEST(WireFaults, AnUnframedStreamThatBreaksOffIsACrash) {
+  for (const std::string_view begun : {"", "id: 1\ndata: a"}) {
+    WireFaultFixture fixture(4);
+    fixture.AwaitReady();
+    fixture.SetScript([&](const Request& request) {
+      return Reply{MakeStreamHead(IdOf(request), "") + std::string(begun),
+                   After::kClose};
+    });
+    LONGS_EQUAL(502, fixture.Send("/stream/x", "same").head.status);
+    fixture.Send("/stream/x", "same");
+    LONGS_EQUAL(503, fixture.Send("/stream/x", "same").head.status);
+  }
+}
+
 // Guards against a success with an empty or short body after an upstream that
 // stopped in the middle of its head (MIXED, ORDER), and against "not run" for a
 // request that may have run: at each byte, on new and on kept connections.
