Do not log an upstream as held that is busy with its own order

Cause: the reason to hold was looked for before the time of the repeat.

The test failed before:

TEST(LeaseSession, UpstreamBusyWithItsOrderIsNotReportedAsHeld) CHECK(m_trace.find("held for checked") == std::string::npos) failed

--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -306,15 +306,17 @@
       upstream.hold_reason = HoldReason::kNone;
       continue;
     }
+    // An upstream is busy with the order that it got.
+    if (upstream.retry_at && m_now < *upstream.retry_at) {
+      upstream.hold_reason = HoldReason::kNone;
+      ScheduleTimer(*upstream.retry_at);
+      continue;
+    }
     const HoldReason reason = ReasonToHold(group, upstream);
     TrackHold(name, upstream_name, upstream, reason);
     if (reason != HoldReason::kNone) {
       continue;
     }
-    if (upstream.retry_at && m_now < *upstream.retry_at) {
-      ScheduleTimer(*upstream.retry_at);
-      continue;
-    }
     if (!read_recently) {
       if (!std::exchange(m_state.reading, true)) {
         m_effects.emplace_back(ReadLeaseStream{});
--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -340,3 +340,20 @@
     CHECK(was_ordered(8));
   }
 }
+
+// Guards against a report of a held order for each upstream that is busy with
+// the order that it got: operators would not see the orders that are held.
+TEST(LeaseSession, UpstreamBusyWithItsOrderIsNotReportedAsHeld) {
+  Start("entry-1");
+  Read("entry-1");
+  Read("entry-1");
+  Report("entry-1", "checked");
+  m_trace.clear();
+  for (int i = 0; i < 2; ++i) {
+    m_now += 600ms;
+    Send("entry-1", "checked is busy",
+         lease::StateReported{
+             "group", "checked", {"m1", "", false}, std::nullopt, true});
+  }
+  CHECK(m_trace.find("held for checked") == std::string::npos);
+}
