Count two crashes at one moment at most

What callers saw: nothing yet; found by the review. When all upstreams of a service crashed at once, a part that all prompts share would be refused after they were back.

Cause: each further crash at one moment counted half, so that five made a quarantine.

Change: further ones count nothing, and a moment lasts 0.5 s from its first crash, so that crashes in quick succession do not stay one moment.

The test, with twelve upstreams in place of four, failed before: part_suspects_test.cc:207: error: Failure in TEST(PartSuspects, CrashesAtOneMomentCountLess) CHECK_FALSE(daemon.Refuses(kOther)) failed

--- a/packages/core/src/forwarding/part_suspects.cc
+++ b/packages/core/src/forwarding/part_suspects.cc
@@ -13,8 +13,9 @@
 
 using std::chrono::milliseconds;
 
-/// Evidence of a crash; a crash at the moment of another one, or of a request
-/// that is repeated, counts half, since both may have another cause.
+/// Evidence of a crash; a second crash at the same moment, or one of a request
+/// that is repeated, counts half, since both may have another cause. Further
+/// ones at the same moment count nothing: a rack has any number of upstreams.
 constexpr std::uint32_t kFullWeight = 2;
 constexpr std::uint32_t kHalfWeight = 1;
 
@@ -22,7 +23,7 @@
 constexpr std::uint32_t kQuarantineWeight = 3 * kFullWeight;
 
 /// Crashes within this time may have a common cause, such as a rack.
-constexpr milliseconds kMomentSpan{250};
+constexpr milliseconds kMomentSpan{500};
 
 /// Time from a quarantine until requests are refused. A verdict reaches all
 /// daemons, and a release returns, in about this time.
@@ -115,13 +116,19 @@
 
 std::uint32_t PartSuspects::Weight(const Crashes& crashes) {
   std::uint32_t weight = 0;
+  std::uint32_t in_moment = 0;
   std::set<std::uint64_t> own_parts;
-  std::optional<MonotonicTime> previous;
+  std::optional<MonotonicTime> moment;
   for (const Crash& crash : crashes) {
     const bool other_request = own_parts.insert(crash.own_part).second;
-    const bool other_moment = !previous || crash.at - *previous >= kMomentSpan;
-    weight += other_request && other_moment ? kFullWeight : kHalfWeight;
-    previous = crash.at;
+    const bool other_moment = !moment || crash.at - *moment >= kMomentSpan;
+    if (other_moment) {
+      moment = crash.at;
+      in_moment = 0;
+    }
+    if (++in_moment <= 2) {
+      weight += other_request && other_moment ? kFullWeight : kHalfWeight;
+    }
   }
   return weight;
 }
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -170,9 +170,9 @@
 // rack failed at once.
 TEST(PartSuspects, CrashesAtOneMomentCountLess) {
   Daemon daemon;
-  for (std::uint64_t upstream = 0; upstream < 4; ++upstream) {
+  for (std::uint64_t upstream = 0; upstream < 12; ++upstream) {
     daemon.suspects.RecordCrash(Report(upstream, {kOther}), daemon.now);
-    daemon.now += 50ms;
+    daemon.now += 40ms;
   }
   daemon.now += 1s;
   CHECK_FALSE(daemon.Refuses(kOther));
