Let an answer end the suspicion that a quarantine leaves

What callers saw: nothing yet; found by the review. For ten minutes after a quarantine of a sound part, one crash would quarantine it again, although its requests were answered.

Cause: an answer released a part only while it was quarantined.

The test failed before: part_suspects_test.cc:319: error: Failure in TEST(PartSuspects, AnAnswerAfterAQuarantineEndsTheSuspicion) CHECK_FALSE(daemon.Refuses(kOther)) failed

--- a/packages/core/src/forwarding/part_suspects.cc
+++ b/packages/core/src/forwarding/part_suspects.cc
@@ -243,7 +243,9 @@
                                 MonotonicTime now) {
   for (const std::uint64_t part : parts) {
     m_answered.Record(part, now);
-    if (IsQuarantined(part, now)) {
+    const auto verdict = m_verdicts.find(part);
+    // Also after the quarantine has ended: one crash would renew it.
+    if (verdict != m_verdicts.end() && verdict->second.epoch % 2 == 1) {
       Release(part, now);
     } else {
       m_evidence.erase(part);
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -275,6 +275,21 @@
   CHECK(daemon.Refuses(kDeadly));
 }
 
+// Guards against a part that is quarantined after one crash although requests
+// with it were answered since its quarantine ended.
+TEST(PartSuspects, AnAnswerAfterAQuarantineEndsTheSuspicion) {
+  Daemon daemon;
+  for (std::uint64_t upstream = 0; upstream < 3; ++upstream) {
+    daemon.Crash(upstream, {kOther});
+  }
+  daemon.now += 11min;
+  CHECK_FALSE(daemon.Refuses(kOther));
+  daemon.Answer({kOther});
+  daemon.Crash(9, {kOther});
+  daemon.now += 1s;
+  CHECK_FALSE(daemon.Refuses(kOther));
+}
+
 // Guards against a sound part that stays refused because it was only ever seen
 // beside the part that crashes upstreams.
 TEST(PartSuspects, ACompanionOfThePartIsReleasedByAProbe) {
