Resume streams whose upstream another request crashed

What callers saw: streams that ran beside a request with a deadly part were cut instead of resumed, if one of their parts was under suspicion (found by the review, not measured).

Cause: a lost connection after the head of a response counted as a possible crash by the request, also if the request had been answered.

The test failed before: part_suspects_test.cc:139: error: Failure in TEST(PartSuspects, AnAnsweredStreamIsResumedAfterACrash) CHECK(Starts(fixture.Crash())) failed

--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -371,6 +371,7 @@
     return;
   }
   RecordOutcome(*request, event);
+  const bool answered = request->attempt->response_started;
   if (!event.last_event.empty()) {
     request->last_event = event.last_event;
   }
@@ -391,7 +392,7 @@
     case AttemptOutcome::kInvalidResponse:
     case AttemptOutcome::kTimedOut:
       ++request->run_count;
-      HandleFailure(*request, event);
+      HandleFailure(*request, event, answered);
       return;
   }
 }
@@ -404,13 +405,17 @@
   Refuse(request, RefusalCode::kOverloaded, event.detail);
 }
 
-void Reducer::HandleFailure(Request& request, const AttemptEnded& event) {
+void Reducer::HandleFailure(Request& request,
+                            const AttemptEnded& event,
+                            bool answered) {
   // Only a lost connection may mean that the request crashed the upstream.
   if (event.outcome == AttemptOutcome::kBroken &&
       RefuseIfCrashSuspect(request)) {
     return;
   }
+  // Requests that were answered are victims of another one's crash.
   if (event.outcome == AttemptOutcome::kBroken && event.response_begun &&
+      !answered &&
       m_state.part_suspects.MayCrashAgain(request.shared_parts, m_now)) {
     Refuse(request, RefusalCode::kUpstreamFailed, event.detail);
     return;
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -142,7 +142,10 @@
   Duration PauseAfterRejection(const Request& request,
                                const Upstream& upstream) const;
   void HandleNotRun(Request& request, const AttemptEnded& event);
-  void HandleFailure(Request& request, const AttemptEnded& event);
+  /// @param answered whether the attempt had sent an event to the caller
+  void HandleFailure(Request& request,
+                     const AttemptEnded& event,
+                     bool answered);
   /// @return whether a further attempt was started
   bool Retry(Request& request, Counter reason, const std::string& detail);
   void Refuse(Request& request, RefusalCode code, std::string detail);
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -124,6 +124,21 @@
         RefusalCode::kUpstreamFailed);
 }
 
+// Guards against breaking off the streams that run beside a request that
+// crashes their upstream: they were answered, so they may be resumed.
+TEST(PartSuspects, AnAnsweredStreamIsResumedAfterACrash) {
+  ForwardingFixture fixture;
+  AddEngines(fixture);
+  CHECK(Starts(fixture.SendParts({"common", "document"}, "/resume/")));
+  fixture.Answer();
+  for (std::uint64_t upstream = 1; upstream <= 2; ++upstream) {
+    fixture.Wait(600ms);
+    fixture.Apply(
+        CrashReportReceived{Report(upstream, {StableHash("document")})});
+  }
+  CHECK(Starts(fixture.Crash()));
+}
+
 // Guards against a request that is sent to another upstream after its part was
 // quarantined.
 TEST(PartSuspects, ARejectedRequestWithAQuarantinedPartIsNotSentAgain) {
