Keep crash reports with prompt parts when there are too many

What callers saw: nothing yet; found by the review. A crash has up to a hundred victims, whose reports pushed the one that tells the part out of the queue before it was sent.

The test failed before: peer_gossip_test.cc:235: error: Failure in TEST(PeerGossip, ReportsWithPartsAreNotDroppedForOthers)

--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -458,7 +458,15 @@
 
 void PeerGossip::Broadcast(const forwarding::CrashReport& report) {
   if (m_crash_reports.size() >= kMaxCrashReports) {
-    m_crash_reports.pop_front();
+    // A crash has many victims, and the few reports with parts tell its cause.
+    const auto without_parts =
+        std::find_if(m_crash_reports.begin(), m_crash_reports.end(),
+                     [](const PendingCrashReport& pending) {
+                       return pending.report.parts.empty();
+                     });
+    m_crash_reports.erase(without_parts == m_crash_reports.end()
+                              ? m_crash_reports.begin()
+                              : without_parts);
   }
   m_crash_reports.push_back({report, m_clock.Now() + kCrashReportRepeatTime});
 }
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -216,3 +216,22 @@
       fixture.RunUntil([&] { return left.host.State().crashes.Size() == 2; }));
   UNSIGNED_LONGS_EQUAL(2, left.host.State().part_suspects.Size());
 }
+
+// Guards against losing the only report that tells the cause of a crash among
+// those of its many victims.
+TEST(PeerGossip, ReportsWithPartsAreNotDroppedForOthers) {
+  constexpr std::uint64_t kVictims = 200;
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  CHECK(fixture.RunUntil([&] {
+    return left.gossip.LivePeerCount() == 1 &&
+           right.gossip.LivePeerCount() == 1;
+  }));
+  right.gossip.Broadcast(forwarding::CrashReport{1, 1, {7}, 8, 0s});
+  for (std::uint64_t victim = 2; victim < kVictims; ++victim) {
+    right.gossip.Broadcast(forwarding::CrashReport{victim, 1});
+  }
+  CHECK(fixture.RunUntil(
+      [&] { return left.host.State().part_suspects.Size() == 1; }));
+}
