Probe a quarantined part only if an upstream can run the probe

What callers saw: nothing yet; found by the review. A sound part stayed refused for longer than needed when probes fell into a time without room: each one doubled the delay.

Cause: a probe was counted before the choice of an upstream, which may refuse it.

The test failed before: part_suspects_test.cc:151: error: Failure in TEST(PartSuspects, AProbeThatCannotBeSentIsNotCounted) CHECK(IsRefusedAsSuspect(fixture.SendParts({"common", "deadly"}))) failed

--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "jasminehatch/detail/forwarding/placement.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
 #include "reducer.h"
@@ -83,10 +84,10 @@
     request.deadline =
         std::min(request.deadline, m_now + request.route->timeout);
   }
+  ChooseService(request);
   if (!TryProbe(request) && RefuseIfCrashSuspect(request)) {
     return;
   }
-  ChooseService(request);
   m_state.retries.RecordRequest(request.service, m_now, m_state.options);
   Dispatch(request);
 }
@@ -189,6 +190,12 @@
 
 bool Reducer::TryProbe(const Request& request) {
   if (m_state.crashes.RefusalTimeLeft(request.arrival.fingerprint, m_now) ||
+      !m_state.part_suspects.RefusalTimeLeft(request.shared_parts, m_now)) {
+    return false;
+  }
+  // A probe that no upstream can run would only delay the next one.
+  const Placement placement = ChooseUpstream(m_state, request, m_now);
+  if (placement.upstream == nullptr || placement.overloaded ||
       !m_state.part_suspects.TryProbe(request.shared_parts,
                                       request.arrival.random, m_now)) {
     return false;
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -139,6 +139,20 @@
   CHECK(Starts(fixture.Crash()));
 }
 
+// Guards against probes that are counted, and delay the next one, although no
+// upstream could run them.
+TEST(PartSuspects, AProbeThatCannotBeSentIsNotCounted) {
+  ForwardingFixture fixture;
+  AddEngines(fixture);
+  CrashUpstreams(fixture, 3);
+  fixture.Wait(30s);
+  fixture.Confirm();
+  fixture.Apply(UpstreamsListed{});
+  CHECK(IsRefusedAsSuspect(fixture.SendParts({"common", "deadly"})));
+  AddEngines(fixture);
+  CHECK(Starts(fixture.SendParts({"common", "deadly"})));
+}
+
 // Guards against a request that is sent to another upstream after its part was
 // quarantined.
 TEST(PartSuspects, ARejectedRequestWithAQuarantinedPartIsNotSentAgain) {
