--- a/packages/core/tests/forwarding_fixture.cc
+++ b/packages/core/tests/forwarding_fixture.cc
@@ -2,6 +2,11 @@
 
 #include <utility>
 
+// Must come last because it defines `new` as a macro.
+#include "jasminehatch/detail/testing/leak_detector_off.h"
+
+#include <CppUTest/TestHarness.h>
+
 namespace jasminehatch::forwarding::test {
 namespace {
 
@@ -21,6 +26,22 @@
 
 }  // namespace
 
+StartAttempt OnlyStart(const Effects& effects) {
+  const auto starts = EffectsOf<StartAttempt>(effects);
+  UNSIGNED_LONGS_EQUAL(1, starts.size());
+  return starts.front();
+}
+
+RefuseRequest OnlyRefusal(const Effects& effects) {
+  const auto refusals = EffectsOf<RefuseRequest>(effects);
+  UNSIGNED_LONGS_EQUAL(1, refusals.size());
+  return refusals.front();
+}
+
+bool Is(RefusalCode code, const RefuseRequest& refusal) {
+  return refusal.code == code;
+}
+
 ForwardingFixture::ForwardingFixture() {
   m_state.options.zone = "a";
   m_state.options.retry_slack = 80;
--- a/packages/core/tests/forwarding_fixture.h
+++ b/packages/core/tests/forwarding_fixture.h
@@ -21,6 +21,16 @@
   return found;
 }
 
+/// Checks that an attempt was started, and only one.
+/// @return the attempt
+StartAttempt OnlyStart(const Effects& effects);
+
+/// Checks that a request was refused, and only one.
+/// @return the refusal
+RefuseRequest OnlyRefusal(const Effects& effects);
+
+bool Is(RefusalCode code, const RefuseRequest& refusal);
+
 /// @brief State of a daemon with a configuration of one host and a route of
 /// each kind.
 ///
