--- a/review/tests/workers.h
+++ b/review/tests/workers.h
@@ -37,7 +37,9 @@
   std::string worker;
   std::string id;
   std::string body;
-  bool ran = false;
+  std::string tenant;
+  std::string salt;   ///< Under which the worker keeps the prompt's parts.
+  std::string parts;  ///< The parts of the prompt, in order.
 };
 
 /// @brief What all workers have seen.
@@ -267,9 +269,20 @@
   Reply Run(const Message& request, std::unique_lock<std::mutex>& lock) {
     const std::string id = request.Header("x-request-id");
     const bool crash = request.body.starts_with("crash");
+    const std::string expected = request.Header("x-expect-version");
+    if (!expected.empty() && std::stoull(expected) != m_state.version) {
+      return {421,
+              {{"X-Instance-Id", m_id},
+               {"X-Request-Id", id},
+               {"X-Not-Executed", "1"}},
+              "",
+              false};
+    }
     {
       const std::lock_guard seen_lock(m_seen.mutex);
-      m_seen.requests.push_back({Clock::now(), m_id, id, request.body, true});
+      m_seen.requests.push_back(
+          {Clock::now(), m_id, id, request.body, request.Header("x-tenant"),
+           request.Header("x-cache-salt"), request.Header("x-prompt-prefix")});
     }
     m_record.Line("request " + id + " runs at " + m_id +
                   (crash ? ", which crashes" : ""));
@@ -278,8 +291,18 @@
       m_server.SetDown(true);
       return {0, {}, "", true};
     }
+    const std::string version = std::to_string(m_state.version);
     lock.unlock();
     std::this_thread::sleep_for(kRunTime);
+    if (!m_kind.model.empty()) {
+      return {200,
+              {{"X-Request-Id", id},
+               {"X-Response-Signature", "s." + id},
+               {"X-Weight-Versions", version},
+               {"Content-Type", "text/event-stream"}},
+              "id: 1\ndata: done\n\n",
+              false};
+    }
     return {200,
             {{"X-Request-Id", id},
              {"X-Response-Signature", "s." + id},
