--- a/review/tests/crash_case.cc
+++ b/review/tests/crash_case.cc
@@ -1,9 +1,11 @@
 // A request that crashes each worker that runs it comes again and again, as
 // `crash` in its body. With trouble, two of six daemons are killed and started
 // again, one after the other, after the third crash. Checks that the request
-// reaches workers in at most three retries later than `contactMs` after it.
+// reaches workers in at most three retries later than `contactMs` after it, and
+// counts the sound requests that are lost at the workers that crash.
 
 #include <array>
+#include <future>
 #include <iostream>
 
 #include "daemons.h"
@@ -67,7 +69,8 @@
   }
 
   /// Sends one client attempt.
-  void Send(int daemon, const std::string& body) {
+  /// @return the status of the response; 0 without one
+  int Send(int daemon, const std::string& body) {
     const std::string id = "c" + std::to_string(m_next_id++);
     const std::string text =
         "POST /orders/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
@@ -80,6 +83,28 @@
                   m_daemons.at(daemon)->Name() + ": " +
                   (response ? std::to_string(response->Status())
                             : std::string("no answer")));
+    return response ? response->Status() : 0;
+  }
+
+  /// Sends the request that crashes workers while each worker runs a sound one,
+  /// which another daemon has sent there.
+  /// @return the number of sound requests that ran and got no success
+  int SendBesideSoundOnes(int daemon) {
+    std::vector<std::future<int>> sound;
+    sound.reserve(kWorkers);
+    for (int i = 0; i < kWorkers; ++i) {
+      sound.push_back(std::async(std::launch::async, [this] {
+        return Send(1, "slow " + std::to_string(m_next_sound++));
+      }));
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    Send(daemon, kCrashBody);
+    int lost = 0;
+    for (auto& status : sound) {
+      constexpr int kUpstreamFailed = 502;
+      lost += status.get() == kUpstreamFailed ? 1 : 0;
+    }
+    return lost;
   }
 
   /// @return when the request ran that crashes workers
@@ -102,7 +127,8 @@
   Store m_store;
   std::vector<std::unique_ptr<Worker>> m_workers;
   std::vector<std::unique_ptr<Daemon>> m_daemons;
-  int m_next_id = 1;
+  std::atomic<int> m_next_id{1};
+  std::atomic<int> m_next_sound{1};
 };
 
 int Run(const std::string& record_path, bool trouble) {
@@ -129,6 +155,7 @@
   for (int daemon = 0; daemon < 6; ++daemon) {
     deployment.Send(daemon, kCrashBody);
   }
+  int lost = 0;
   for (const int daemon : {0, 3}) {
     if (trouble) {
       deployment.Restart(daemon);
@@ -140,8 +167,7 @@
     // The machine is in touch before it gets the request.
     std::this_thread::sleep_for(kContact + milliseconds(1000));
     for (int i = 0; i < 4; ++i) {
-      deployment.Send(daemon, kCrashBody);
-      deployment.Send(daemon, "sound");
+      lost += deployment.SendBesideSoundOnes(daemon);
       std::this_thread::sleep_for(kInterval);
     }
   }
@@ -151,6 +177,8 @@
                     [&](const auto& at) { return at > counted_from; });
   record.Line(std::to_string(retries) +
               " retries reached workers; three are allowed");
+  record.Line(std::to_string(lost) +
+              " sound requests were lost at the workers that crashed");
   return retries > kAllowedRetries ? kBroken : kHeld;
 }
 
--- a/review/tests/workers.h
+++ b/review/tests/workers.h
@@ -58,7 +58,7 @@
 
 /// @brief A worker, as PROTOCOL.md describes it: it registers itself, takes
 /// orders for new weights, runs requests, and crashes at a request whose body
-/// begins with `crash`.
+/// begins with `crash`. One that begins with `slow` runs for longer.
 class Worker {
  public:
   Worker(const std::string& ip,
@@ -96,6 +96,7 @@
   static constexpr milliseconds kReportLag{200};
   static constexpr milliseconds kDownTime{2000};
   static constexpr milliseconds kRunTime{30};
+  static constexpr milliseconds kSlowRunTime{800};
 
   struct State {
     std::uint64_t version = 1;
@@ -293,7 +294,8 @@
     }
     const std::string version = std::to_string(m_state.version);
     lock.unlock();
-    std::this_thread::sleep_for(kRunTime);
+    std::this_thread::sleep_for(request.body.starts_with("slow") ? kSlowRunTime
+                                                                 : kRunTime);
     if (!m_kind.model.empty()) {
       return {200,
               {{"X-Request-Id", id},
