--- a/review/tests/lease_case.cc
+++ b/review/tests/lease_case.cc
@@ -1,7 +1,8 @@
-// Weights are published twice, 28 s apart. With trouble, the store keeps
-// records for 20 s, so that those of the first rollout have expired at the
-// second one; without, it keeps them for 300 s. No process fails. Checks that
-// no engine gets orders from two daemons within `leaseMs`.
+// Weights are published twice, the second time 28 s after the first rollout has
+// ended. With trouble, the store keeps records for 20 s, so that those of the
+// first rollout have expired at the second one; without, it keeps them for 300
+// s. No process fails. Checks that no engine gets orders from two daemons
+// within `leaseMs`.
 
 #include <array>
 #include <iostream>
