--- a/packages/codec/include/jasminehatch/detail/json/relay_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/relay_message.h
@@ -38,6 +38,9 @@
   std::optional<std::uint64_t> recovered_age_ms;
   std::vector<relay::Record> records;
   std::vector<forwarding::CacheChange> changes;
+  /// Time on the clock that all upstreams share, in milliseconds, if the feed
+  /// is of a cache store.
+  std::optional<std::uint64_t> shared_clock_ms;
 };
 
 /// @brief Asks a daemon of the same zone what it knows of some feeds.
--- a/packages/codec/src/json/relay_message.cc
+++ b/packages/codec/src/json/relay_message.cc
@@ -59,7 +59,8 @@
       {delta.feed, delta.epoch, delta.position,
        static_cast<std::uint8_t>(delta.status), delta.age_ms,
        delta.recovered_age_ms ? json(*delta.recovered_age_ms) : json(),
-       std::move(records), std::move(changes)});
+       std::move(records), std::move(changes),
+       delta.shared_clock_ms ? json(*delta.shared_clock_ms) : json()});
 }
 
 FeedDelta DecodeDelta(const json& entry) {
@@ -82,6 +83,11 @@
   for (const json& change : entry.at(7)) {
     delta.changes.push_back(DecodeChange(change));
   }
+  // Daemons of an earlier release do not send the clock.
+  constexpr std::size_t kSharedClock = 8;
+  if (entry.size() > kSharedClock && !entry.at(kSharedClock).is_null()) {
+    delta.shared_clock_ms = ReadMilliseconds(entry.at(kSharedClock));
+  }
   return delta;
 }
 
--- a/packages/core/include/jasminehatch/detail/forwarding/cache_event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/cache_event.h
@@ -34,6 +34,11 @@
   std::vector<CacheChange> changes;
 };
 
+/// A cache store stated the time on the clock that all upstreams share.
+struct SharedClockRead {
+  std::uint64_t clock_ms = 0;
+};
+
 /// A cache store does not reply.
 struct CacheStoreUnreachable {
   std::string store;
--- a/packages/core/include/jasminehatch/detail/forwarding/cache_stores.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/cache_stores.h
@@ -16,7 +16,7 @@
 
 namespace jasminehatch::forwarding {
 
-class UpstreamDirectory;
+class CacheUseWindow;
 
 /// @brief Tracks the content of the cache stores.
 ///
@@ -64,10 +64,11 @@
                            std::uint32_t tokens,
                            MonotonicTime now);
 
-  /// @return up to `limit` parts of the store that were computed with weights
-  /// that are no longer in use
+  /// @return up to `limit` parts of the store that may be freed, since their
+  /// weights were replaced so long ago that no fetch can be in progress
   std::vector<CachedPart> OutdatedParts(const Store& store,
-                                        const UpstreamDirectory& upstreams,
+                                        const CacheUseWindow& use,
+                                        MonotonicTime now,
                                         std::size_t limit) const;
 
   const std::map<std::string, Store>& All() const { return m_stores; }
--- a/packages/core/include/jasminehatch/detail/forwarding/effect.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/effect.h
@@ -27,6 +27,9 @@
   std::vector<std::string> fetch;
   /// For each part, the address of the store to save it to; empty for none.
   std::vector<std::string> save;
+  /// The engine discards a fetch that has not ended at this time on the clock
+  /// that all upstreams share, in milliseconds. Set if a store is read.
+  std::optional<std::uint64_t> fetch_until_ms;
 };
 
 /// Send the request to an upstream.
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -13,6 +13,7 @@
 #include "jasminehatch/detail/base/strong_id.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_stores.h"
+#include "jasminehatch/detail/forwarding/cache_use_window.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
@@ -20,6 +21,7 @@
 #include "jasminehatch/detail/forwarding/request.h"
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
 #include "jasminehatch/detail/forwarding/route_table.h"
+#include "jasminehatch/detail/forwarding/shared_clock.h"
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
 
 namespace jasminehatch::forwarding {
@@ -35,6 +37,8 @@
   std::optional<MonotonicTime> confirmed_at;
   UpstreamDirectory upstreams;
   CacheStores stores;
+  CacheUseWindow cache_use;
+  SharedClock shared_clock;
   FleetLoad fleet;
   CrashSuspects crashes;
   PartSuspects part_suspects;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <span>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -18,9 +17,6 @@
 
 namespace jasminehatch::forwarding {
 
-/// @return the prefix of the cache salts of parts computed with these weights
-std::string SaltPrefix(const std::string& model, std::uint64_t version);
-
 /// @brief The upstreams of the registry and the published weights.
 class UpstreamDirectory {
  public:
@@ -85,12 +81,6 @@
   std::optional<PublishedWeights> NewestPublished(
       const std::string& model) const;
 
-  /// @return whether a cache salt belongs to weights that are older than the
-  /// newest published ones and that no upstream has. Weights without a newer
-  /// published version count as used, even if no upstream is known to have
-  /// them.
-  bool IsSaltOutdated(std::string_view salt) const;
-
   /// @return the minimum version for new attempts at the service: the newest
   /// one whose time limit has passed, or may have passed if its time of
   /// publication is not known; 0 if there is none
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "jasminehatch/detail/forwarding/cache_salt.h"
 #include "jasminehatch/detail/forwarding/placement.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
@@ -202,8 +203,9 @@
   // Cached parts are shared only between requests to the same weight version of
   // the model. A workspace with a private cache shares them with no other
   // workspace.
-  plan.salt = SaltPrefix(model, plan.expected_version) +
-              (request.private_cache ? request.workspace : "");
+  plan.salt = CacheSalt{model, plan.expected_version,
+                        request.private_cache ? request.workspace : ""}
+                  .ToString();
   PlanPartTransfers(request, placement, plan);
   return plan;
 }
@@ -227,16 +229,26 @@
   if (!m_state.options.use_cache_stores) {
     return;
   }
+  const bool may_use =
+      m_state.cache_use.MayUse(model, plan.expected_version, m_now);
+  const auto clock_ms = m_state.shared_clock.At(m_now);
   // The last part is specific to this request and is not reused.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     const PromptPart& part = parts[i];
-    const std::string_view store_address = m_state.stores.Find(
-        plan.salt, part.id, part.tokens, upstream.entry.zone);
-    if (!store_address.empty()) {
+    const std::string_view store_address =
+        may_use ? m_state.stores.Find(plan.salt, part.id, part.tokens,
+                                      upstream.entry.zone)
+                : std::string_view();
+    // A fetch without a time limit could go on when the part is freed.
+    if (!store_address.empty() && clock_ms) {
       plan.fetch[i] = store_address;
-    } else if (part.tokens >= kMinSavedTokens) {
-      plan.save[i] =
-          m_state.stores.Reserve(plan.salt, part.id, part.tokens, m_now);
+      plan.fetch_until_ms = *clock_ms + CacheUseWindow::kFetchTimeout /
+                                            std::chrono::milliseconds(1);
+    } else if (store_address.empty() && part.tokens >= kMinSavedTokens) {
+      if (may_use) {
+        plan.save[i] =
+            m_state.stores.Reserve(plan.salt, part.id, part.tokens, m_now);
+      }
       // The preferred upstream returns the part only under the same salt. If it
       // does not have it, the failed fetch costs little.
       plan.fetch[i] = fetch_from_preferred ? placement.preferred->entry.address
--- a/packages/core/src/forwarding/cache_stores.cc
+++ b/packages/core/src/forwarding/cache_stores.cc
@@ -5,8 +5,9 @@
 #include <set>
 #include <utility>
 
+#include "jasminehatch/detail/forwarding/cache_salt.h"
+#include "jasminehatch/detail/forwarding/cache_use_window.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
-#include "jasminehatch/detail/forwarding/upstream_directory.h"
 
 namespace jasminehatch::forwarding {
 namespace {
@@ -184,20 +185,21 @@
   return best->spec.address;
 }
 
-std::vector<CachedPart> CacheStores::OutdatedParts(
-    const Store& store,
-    const UpstreamDirectory& upstreams,
-    std::size_t limit) const {
+std::vector<CachedPart> CacheStores::OutdatedParts(const Store& store,
+                                                   const CacheUseWindow& use,
+                                                   MonotonicTime now,
+                                                   std::size_t limit) const {
   std::vector<CachedPart> outdated;
-  for (const auto& [salt, parts] : store.parts) {
-    if (!upstreams.IsSaltOutdated(salt)) {
+  for (const auto& [text, parts] : store.parts) {
+    const auto salt = CacheSalt::Parse(text);
+    if (!salt || !use.MayFree(salt->model, salt->version, now)) {
       continue;
     }
     for (const auto& [id, tokens] : parts) {
       if (outdated.size() >= limit) {
         return outdated;
       }
-      outdated.push_back({salt, id, tokens});
+      outdated.push_back({text, id, tokens});
     }
   }
   return outdated;
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -31,6 +31,7 @@
     if (!m_state.confirmed_at || event.sent_at > *m_state.confirmed_at) {
       m_state.confirmed_at = event.sent_at;
     }
+    m_state.cache_use.OnConfirmed(event.sent_at);
   }
   void Apply(const UpstreamRegistered& event) {
     m_state.upstreams.Register(event.entry, m_now);
@@ -46,6 +47,7 @@
   }
   void Apply(const WeightsPublished& event) {
     m_state.upstreams.OnWeightsPublished(event, m_now);
+    m_state.cache_use.OnPublished(event.model, event.version, m_now);
   }
   void Apply(const PublicationAgeReceived& event) {
     m_state.upstreams.OnPublicationAge(event.publication, m_now);
@@ -73,6 +75,9 @@
   void Apply(const CacheStoreUnreachable& event) {
     m_state.stores.Apply(event);
   }
+  void Apply(const SharedClockRead& event) {
+    m_state.shared_clock.OnRead(event.clock_ms, m_now);
+  }
   void Apply(const PeerLoadReceived& event) {
     m_state.fleet.Apply(event, m_now);
   }
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -1,7 +1,6 @@
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -28,10 +27,6 @@
 
 }  // namespace
 
-std::string SaltPrefix(const std::string& model, std::uint64_t version) {
-  return model + "/" + std::to_string(version) + "/";
-}
-
 void UpstreamDirectory::Register(const UpstreamEntry& entry,
                                  MonotonicTime now) {
   if (Upstream* known = Find(entry.id)) {
@@ -228,30 +223,6 @@
          (m_removals_deferred_until && now < *m_removals_deferred_until);
 }
 
-bool UpstreamDirectory::IsSaltOutdated(std::string_view salt) const {
-  for (const auto& published : m_published) {
-    const std::string& model = published.first;
-    if (!salt.starts_with(model + "/")) {
-      continue;
-    }
-    const std::string_view rest = salt.substr(model.size() + 1);
-    std::uint64_t version = 0;
-    const auto [end, error] =
-        std::from_chars(rest.data(), rest.data() + rest.size(), version);
-    if (error != std::errc() || end == rest.data() + rest.size() ||
-        *end != '/') {
-      continue;
-    }
-    return version < published.second.back().version &&
-           std::none_of(m_upstreams.begin(), m_upstreams.end(),
-                        [&](const auto& id_and_upstream) {
-                          return id_and_upstream.second->WeightVersion(model) ==
-                                 version;
-                        });
-  }
-  return false;
-}
-
 std::optional<UpstreamDirectory::PublishedWeights>
 UpstreamDirectory::NewestPublished(const std::string& model) const {
   const auto found = m_published.find(model);
--- a/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/cache_store_follower.h
@@ -31,7 +31,7 @@
 class ForwardingHost;
 
 /// @brief Tracks the contents of one cache store and frees the parts whose
-/// weight version no engine uses any more.
+/// weights were replaced.
 ///
 /// A part is the cached state of one prompt part, computed with one weight
 /// version. In a large zone it is a relayed feed: one daemon reads the store's
@@ -57,15 +57,8 @@
     m_rank = rank;
   }
 
-  /// Allows parts to be freed until the given time. The caller ensures that the
-  /// registry was read recently: engines that this daemon does not know of may
-  /// still use older weights.
-  void AllowFreeingUntil(MonotonicTime until) {
-    m_freeing_allowed_until = until;
-  }
-
-  /// Frees the parts of outdated weights (older than the newest published ones
-  /// and on no upstream) once no fetch of them can be running.
+  /// Frees the parts that no request can be using any more
+  /// (`forwarding::CacheUseWindow`).
   void FreeOutdatedParts();
 
   std::optional<codec::FeedPosition> Position() const override;
@@ -89,6 +82,8 @@
   void Read();
   void OnChanges(const std::optional<platform::CacheStorePage>& page);
   void OnReadFailed();
+  /// @param clock_ms time on the clock that the upstreams share; 0 if unknown
+  void OnClockRead(std::uint64_t clock_ms);
   void ScheduleFreeCheck();
   void Schedule(std::chrono::milliseconds delay,
                 void (CacheStoreFollower::*next)());
@@ -102,13 +97,8 @@
   asio::steady_timer m_free_timer;
   std::uint64_t m_store_epoch = 0;  ///< Changes when the store restarts.
   std::uint64_t m_next_change = 0;  ///< Position to read from next.
-  /// Time of the last response on the clock that the upstreams share. A request
-  /// to free parts expires at a time on that clock.
-  std::uint64_t m_shared_clock_ms = 0;
-  MonotonicTime m_shared_clock_read_at{};
   /// Since when there have been outdated parts that may be freed.
   std::optional<MonotonicTime> m_outdated_parts_since;
-  MonotonicTime m_freeing_allowed_until{};
   relay::FeedRole m_role = relay::FeedRole::kIndependent;
   relay::ChangeLog m_changes;
   /// When the content was known up to `m_next_change`.
--- a/packages/daemon/src/forwarder/cache_store_follower.cc
+++ b/packages/daemon/src/forwarder/cache_store_follower.cc
@@ -42,13 +42,8 @@
 /// Approximate size of a change in a relayed answer, in bytes.
 constexpr std::size_t kRelayedChangeBytes = 64;
 
-/// Parts of replaced weights are freed this long after the last engine has
-/// switched to other weights. An engine starts no fetch that would wait for
-/// more than two seconds, and its switch is observed when the new weights are
-/// loaded, some hundred milliseconds after the last fetch can have started.
-constexpr milliseconds kFreeDelay{2200};
-
-/// Interval between checks for outdated parts while no read completes.
+/// Interval between checks for outdated parts while they wait for their turn
+/// and no read completes.
 constexpr milliseconds kFreeCheckInterval{200};
 
 /// The store ignores a free request that arrives later than this after the
@@ -102,6 +97,7 @@
                                 DecisionLogField{"parts", count}};
         m_log.Write(DecisionLog::Level::kState, "cache_store_listed", fields);
         m_host.Apply(listed);
+        OnClockRead(page->clock_ms);
         m_changes.Restart(page->epoch, page->next);
         m_known_at = m_clock.Now();
         ReadIfDue();
@@ -155,10 +151,9 @@
     return;
   }
   m_next_change = page->next;
-  m_shared_clock_ms = page->clock_ms;
-  m_shared_clock_read_at = m_clock.Now();
   m_known_at = m_clock.Now();
   m_host.Apply(forwarding::CacheChanged{m_address, page->epoch, page->changes});
+  OnClockRead(page->clock_ms);
   m_changes.Add(page->next, page->changes);
   FreeOutdatedParts();
   Schedule(Mode().pause, &CacheStoreFollower::ReadIfDue);
@@ -183,6 +178,7 @@
   codec::FeedDelta delta;
   delta.epoch = m_store_epoch;
   delta.position = m_next_change;
+  delta.shared_clock_ms = m_host.State().shared_clock.At(m_clock.Now());
   delta.age_ms = static_cast<std::uint64_t>(
       std::chrono::ceil<milliseconds>(m_clock.Now() - *m_known_at).count());
   if (position.epoch == m_store_epoch && position.position > m_next_change) {
@@ -218,6 +214,7 @@
   m_changes.Add(delta.position, delta.changes);
   m_host.Apply(
       forwarding::CacheChanged{m_address, m_store_epoch, delta.changes});
+  OnClockRead(delta.shared_clock_ms.value_or(0));
   if (delta.status == codec::FeedDelta::Status::kComplete) {
     m_known_at = std::max(*m_known_at, known_at);
   }
@@ -231,28 +228,34 @@
   }
 }
 
+void CacheStoreFollower::OnClockRead(std::uint64_t clock_ms) {
+  if (clock_ms != 0) {
+    m_host.Apply(forwarding::SharedClockRead{clock_ms});
+  }
+}
+
 void CacheStoreFollower::FreeOutdatedParts() {
   const forwarding::State& state = m_host.State();
+  const MonotonicTime now = m_clock.Now();
+  const auto shared_clock_ms = state.shared_clock.At(now);
   const auto store = state.stores.All().find(m_address);
   if (store == state.stores.All().end() ||
-      !store->second.spec.externally_managed || m_shared_clock_ms == 0 ||
-      m_role == relay::FeedRole::kFollower ||
-      m_clock.Now() > m_freeing_allowed_until) {
+      !store->second.spec.externally_managed || !shared_clock_ms ||
+      m_role == relay::FeedRole::kFollower) {
     m_outdated_parts_since.reset();
     return;
   }
   const auto outdated = state.stores.OutdatedParts(
-      store->second, state.upstreams, kMaxFreedParts);
+      store->second, state.cache_use, now, kMaxFreedParts);
   if (outdated.empty()) {
     m_outdated_parts_since.reset();
     return;
   }
-  const MonotonicTime now = m_clock.Now();
   if (!m_outdated_parts_since) {
     m_outdated_parts_since = now;
   }
   const milliseconds stagger = kFreeStagger * std::min(m_rank, kMaxFreeRank);
-  if (now - *m_outdated_parts_since < kFreeDelay + stagger) {
+  if (now - *m_outdated_parts_since < stagger) {
     ScheduleFreeCheck();
     return;
   }
@@ -265,17 +268,14 @@
   for (const forwarding::CachedPart& part : outdated) {
     freed.changes.push_back({false, part});
   }
-  const auto clock_age = (now - m_shared_clock_read_at) / milliseconds(1);
-  const std::uint64_t until = m_shared_clock_ms +
-                              static_cast<std::uint64_t>(clock_age) +
-                              kFreeValidityMs;
-  m_engines.FreeParts(m_address, m_store_epoch, until, outdated,
+  m_engines.FreeParts(m_address, m_store_epoch,
+                      *shared_clock_ms + kFreeValidityMs, outdated,
                       [this, alive = std::weak_ptr<int>(m_alive), freed] {
                         if (!alive.expired()) {
                           m_host.Apply(freed);
                         }
                       });
-  m_outdated_parts_since = now - kFreeDelay;
+  m_outdated_parts_since = now;
 }
 
 void CacheStoreFollower::ScheduleFreeCheck() {
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -80,10 +80,6 @@
 constexpr char kRegistryFeed[] = "registry";
 constexpr std::string_view kCacheStoreFeedPrefix = "cache_store/";
 
-/// How long registry records count as current. Parts in cache stores are freed
-/// only within this time after records were read.
-constexpr milliseconds kRegistryFreshTime{3000};
-
 /// After an outage of the registry of at least this length, a missing entry may
 /// only mean that its upstream could not renew it.
 constexpr milliseconds kRegistryOutageThreshold{800};
@@ -294,8 +290,8 @@
   void OnOperatorRecords(std::span<const platform::StoreRecord> records,
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
-  /// @param known_at when the registry had nothing that this daemon lacks
-  void OnRegistryKnown(MonotonicTime known_at);
+  /// Called when this daemon has read all that the registry has.
+  void OnRegistryKnown();
   void UpdateCacheStoreFollowers();
   /// @return the position of this daemon in the order in which daemons free
   /// parts of cache stores
@@ -341,7 +337,6 @@
   bool m_stopping = false;
   bool m_accepting = true;
   bool m_registry_populated = false;
-  MonotonicTime m_registry_fresh_until{};
 };
 
 void Forwarder::Impl::Listen(asio::io_context& loop) {
@@ -421,8 +416,8 @@
     m_rollout.Update();
   };
   callbacks.on_records = [this](auto records) { OnUpstreamRecords(records); };
-  callbacks.on_caught_up = [this](MonotonicTime known_at) {
-    OnRegistryKnown(known_at);
+  callbacks.on_caught_up = [this](MonotonicTime /*known_at*/) {
+    OnRegistryKnown();
   };
   callbacks.on_unavailable = [this](const std::string& detail) {
     LogDependency("dependency_lost", "registry", detail);
@@ -569,7 +564,6 @@
     const auto [follower, added] = m_cache_stores.try_emplace(
         address, m_loop, m_clock, m_engines, m_host, m_log, address);
     follower->second.SetDaemonCount(daemons, rank);
-    follower->second.AllowFreeingUntil(m_registry_fresh_until);
     follower->second.FreeOutdatedParts();
     if (added) {
       if (m_relay) {
@@ -609,9 +603,7 @@
   }
 }
 
-void Forwarder::Impl::OnRegistryKnown(MonotonicTime known_at) {
-  m_registry_fresh_until =
-      std::max(m_registry_fresh_until, known_at + kRegistryFreshTime);
+void Forwarder::Impl::OnRegistryKnown() {
   m_rollout.SetStandby(m_registry.Role() == relay::FeedRole::kFollower);
   m_rollout.Update();
   UpdateCacheStoreFollowers();
