--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -29,7 +29,6 @@
   std::shared_ptr<const RouteTable> table;  ///< Owns `route`.
   const Route* route = nullptr;
   std::string workspace;
-  bool private_cache = false;  ///< `Workspace::private_cache`.
   int priority = 5;
   std::uint64_t expected_tokens = 0;  ///< Expected memory, in tokens.
   /// Hashes of the ids of the prompt parts that other requests share.
--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "jasminehatch/detail/forwarding/configuration.h"
 
@@ -26,6 +27,14 @@
   /// @return the workspace that holds the key, or null
   const Workspace* FindWorkspace(std::string_view key) const;
 
+  /// @return the scope of the cache salts of a workspace's requests
+  /// (`CacheSalt::scope`). A workspace with a private cache has a scope of its
+  /// own, and so has one that is not configured. The others share a scope that
+  /// changes with the set of private ones, so that what a workspace computed
+  /// before its cache became private is not found by the others afterwards.
+  /// @param workspace name; empty for requests without a workspace
+  std::string CacheScope(const std::string& workspace) const;
+
   /// @return the service, or null
   const Service* FindService(std::string_view name) const;
 
@@ -35,6 +44,8 @@
   std::unordered_map<std::string, std::size_t> m_routes;
   std::unordered_map<std::string, std::size_t> m_keys;
   std::unordered_map<std::string, std::size_t> m_services;
+  std::unordered_set<std::string> m_sharing_workspaces;  ///< Names.
+  std::string m_shared_scope;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -200,11 +200,10 @@
   const std::string& model = request.arrival.prompt->model;
   CachePlan plan;
   plan.expected_version = upstream.WeightVersion(model);
-  // Cached parts are shared only between requests to the same weight version of
-  // the model. A workspace with a private cache shares them with no other
-  // workspace.
+  // The scope follows the newest configuration, also for a request that was
+  // admitted under an earlier one.
   plan.salt = CacheSalt{model, plan.expected_version,
-                        request.private_cache ? request.workspace : ""}
+                        m_state.table->CacheScope(request.workspace)}
                   .ToString();
   PlanPartTransfers(request, placement, plan);
   return plan;
--- a/packages/core/src/forwarding/route_table.cc
+++ b/packages/core/src/forwarding/route_table.cc
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstdint>
+#include <set>
 #include <utility>
 
+#include "jasminehatch/detail/forwarding/stable_hash.h"
+
 namespace jasminehatch::forwarding {
 namespace {
 
@@ -18,6 +22,20 @@
   return key;
 }
 
+/// @return the scope that the workspaces without a private cache share; the
+/// empty one if there are no others. It depends on nothing but the
+/// configuration, so that daemons agree on it.
+std::string SharedScope(const std::set<std::string>& private_workspaces) {
+  if (private_workspaces.empty()) {
+    return {};
+  }
+  std::uint64_t hash = 0;
+  for (const std::string& name : private_workspaces) {
+    hash = StableHash(name, hash);
+  }
+  return "shared:" + std::to_string(hash);
+}
+
 }  // namespace
 
 RouteTable::RouteTable(Configuration configuration)
@@ -26,11 +44,22 @@
     const Route& route = m_configuration.routes[i];
     m_routes.emplace(RouteKey(route.host, route.path_prefix), i);
   }
+  std::set<std::string> private_workspaces;
   for (std::size_t i = 0; i < m_configuration.workspaces.size(); ++i) {
-    for (const std::string& key : m_configuration.workspaces[i].keys) {
+    const Workspace& workspace = m_configuration.workspaces[i];
+    for (const std::string& key : workspace.keys) {
       m_keys.emplace(key, i);
     }
+    if (workspace.private_cache) {
+      private_workspaces.insert(workspace.name);
+    }
+  }
+  for (const Workspace& workspace : m_configuration.workspaces) {
+    if (!private_workspaces.contains(workspace.name)) {
+      m_sharing_workspaces.insert(workspace.name);
+    }
   }
+  m_shared_scope = SharedScope(private_workspaces);
   for (std::size_t i = 0; i < m_configuration.services.size(); ++i) {
     m_services.emplace(m_configuration.services[i].name, i);
   }
@@ -60,6 +89,12 @@
                                : &m_configuration.workspaces[found->second];
 }
 
+std::string RouteTable::CacheScope(const std::string& workspace) const {
+  return workspace.empty() || m_sharing_workspaces.contains(workspace)
+             ? m_shared_scope
+             : "workspace:" + workspace;
+}
+
 const Service* RouteTable::FindService(std::string_view name) const {
   const auto found = m_services.find(std::string(name));
   return found == m_services.end() ? nullptr
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -121,7 +121,6 @@
     return false;
   }
   request.workspace = workspace->name;
-  request.private_cache = workspace->private_cache;
   request.priority = workspace->priority.value_or(request.priority);
   return true;
 }
