--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -1,12 +1,8 @@
-#include <fcntl.h>
-#include <jasminehatch/codec.h>
 #include <jasminehatch/daemon.h>
 #include <jasminehatch/emulator.h>
 #include <jasminehatch/net.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <asio/io_context.hpp>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -15,168 +11,22 @@
 #include <utility>
 #include <vector>
 
+#include "forwarder_fixture.h"
+
 // Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace jasminehatch;
-using emulator::PlatformEmulator;
+using daemon::test::ForwarderConfiguration;
+using daemon::test::ForwarderFixture;
 using emulator::UpstreamEmulator;
+using Response = daemon::test::CallerResponse;
 using UpstreamResponse = UpstreamEmulator::Response;
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{20};
-
-constexpr char kRoutes[] = R"(
-{"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
-"timeoutMs":3000,"sloMs":150,"priority":2,"service":"desk","attempts":2},
-{"name":"again","host":"h.example","pathPrefix":"/again/","kind":"idempotent",
-"timeoutMs":3000,"sloMs":150,"priority":2,"service":"desk","attempts":2},
-{"name":"stream","host":"h.example","pathPrefix":"/stream/","kind":"streaming",
-"timeoutMs":3000,"sloMs":300,"priority":1,"service":"desk","attempts":2,
-"resumable":true,"targetGapMs":300})";
-
-std::string ConfigurationText(int version, const std::string& key) {
-  return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
-         kRoutes + R"(],"services":[{"name":"desk","maxConns":50}],)" +
-         R"("tenants":[{"name":"t1","apiKeys":[")" + key + R"("]}]})";
-}
-
-/// @brief What a caller received.
-struct Response {
-  bool ended = false;
-  net::StreamHead head;
-  std::string body;
-  net::StreamEnd end;
-
-  std::string Header(const char* name) const {
-    return std::string(net::FindHeader(head.headers, name));
-  }
-};
-
-/// @brief Fixture with a daemon, the platform's store and two upstreams on one
-/// loop.
-class ForwarderFixture {
- public:
-  ForwarderFixture() : m_platform(m_loop), m_client(m_loop, {}) {
-    m_platform.Put("keyed.op", "config", ConfigurationText(1, "key"));
-    for (const char* id : {"u1", "u2"}) {
-      m_upstreams.push_back(std::make_unique<UpstreamEmulator>(m_loop, id));
-      Register(*m_upstreams.back(), false);
-    }
-    m_settings.name = "e1";
-    m_settings.zone = "a";
-    m_settings.address = m_host.NewTcpAddress(m_loop);
-    m_settings.ready_address = m_host.NewTcpAddress(m_loop);
-    m_settings.store_address = m_platform.Address();
-    m_settings.stop_grace = std::chrono::seconds(4);
-    m_settings.revoke_limit = std::chrono::milliseconds(2500);
-    m_daemon = std::make_unique<daemon::Forwarder>(m_loop, m_settings, m_clock,
-                                                   1, m_log_descriptor);
-  }
-  ~ForwarderFixture() {
-    m_daemon.reset();
-    close(m_log_descriptor);
-  }
-  ForwarderFixture(const ForwarderFixture&) = delete;
-  ForwarderFixture& operator=(const ForwarderFixture&) = delete;
-
-  void Register(const UpstreamEmulator& upstream, bool draining) {
-    m_platform.Put("keyed.servers", upstream.Id(),
-                   upstream.Entry("desk", draining));
-  }
-
-  template <typename Condition>
-  bool RunUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kTimeout;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) {
-        return false;
-      }
-      m_loop.restart();
-      m_loop.run_for(std::chrono::milliseconds(5));
-    }
-    return true;
-  }
-
-  bool WaitUntilReady() {
-    return RunUntil([this] { return m_daemon->IsReady(); });
-  }
-
-  std::shared_ptr<Response> Start(const std::string& path,
-                                  const std::string& key = "key",
-                                  const std::string& deadline = "2000") {
-    auto response = std::make_shared<Response>();
-    net::StreamCall call;
-    call.address = m_settings.address;
-    call.method = "POST";
-    call.target = path;
-    call.body = "question";
-    call.headers = {
-        {"Host", "h.example"},
-        {"X-Request-Id", "request-" + std::to_string(m_next_request_id++)},
-        {"X-Deadline-Ms", deadline},
-        {"Authorization", "Token " + key},
-        {"X-Tenant", "forged"}};
-    net::StreamClient::Callbacks callbacks;
-    callbacks.on_head = [response](net::StreamHead head) {
-      response->head = std::move(head);
-    };
-    callbacks.on_data = [response](std::string_view data) {
-      response->body += data;
-    };
-    callbacks.on_end = [response](const net::StreamEnd& end) {
-      response->end = end;
-      response->ended = true;
-    };
-    m_call = m_client.Start(std::move(call), std::move(callbacks));
-    return response;
-  }
-
-  Response Send(const std::string& path,
-                const std::string& key = "key",
-                const std::string& deadline = "2000") {
-    const auto response = Start(path, key, deadline);
-    CHECK(RunUntil([&] { return response->ended; }));
-    return *response;
-  }
-
-  void SetBehaviour(const UpstreamEmulator::Behaviour& behaviour) {
-    for (const auto& upstream : m_upstreams) {
-      upstream->SetBehaviour(behaviour);
-    }
-  }
-
-  std::size_t RunCount() const {
-    std::size_t run_count = 0;
-    for (const auto& upstream : m_upstreams) {
-      run_count += upstream->Ran().size();
-    }
-    return run_count;
-  }
-
-  void CancelCall() { m_client.Cancel(m_call); }
-
-  PlatformEmulator& Platform() { return m_platform; }
-  UpstreamEmulator& Upstream(std::size_t i) { return *m_upstreams.at(i); }
-  daemon::Forwarder& Daemon() { return *m_daemon; }
-
- private:
-  asio::io_context m_loop;
-  emulator::LoopbackHost m_host;
-  net::BootClock m_clock;
-  int m_log_descriptor = open("/dev/null", O_WRONLY | O_CLOEXEC);
-  PlatformEmulator m_platform;
-  std::vector<std::unique_ptr<UpstreamEmulator>> m_upstreams;
-  net::StreamClient m_client;
-  codec::ForwarderSettings m_settings;
-  std::unique_ptr<daemon::Forwarder> m_daemon;
-  std::uint64_t m_call = 0;
-  int m_next_request_id = 1;
-};
-
 UpstreamResponse MakeUpstreamResponse(UpstreamResponse::Kind kind) {
   UpstreamResponse response;
   response.kind = kind;
@@ -348,11 +198,13 @@
   ForwarderFixture fixture;
   CHECK(fixture.WaitUntilReady());
   LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
-  fixture.Platform().Put("keyed.op", "config", ConfigurationText(2, "new"));
+  fixture.Platform().Put("keyed.op", "config",
+                         ForwarderConfiguration(2, "new"));
   CHECK(fixture.RunUntil(
       [&] { return fixture.Send("/once/x").head.status == 401; }));
   LONGS_EQUAL(200, fixture.Send("/once/x", "new").head.status);
-  fixture.Platform().Put("keyed.op", "config", ConfigurationText(3, "newer"));
+  fixture.Platform().Put("keyed.op", "config",
+                         ForwarderConfiguration(3, "newer"));
   fixture.Platform().Compact("keyed.op");
   CHECK(fixture.RunUntil(
       [&] { return fixture.Send("/once/x", "newer").head.status == 200; }));
