--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -96,6 +96,11 @@
     bool streaming = false;       ///< The response is forwarded event by event.
     bool event_received = false;  ///< In the current attempt.
     bool head_sent = false;  ///< The response's head was sent to the caller.
+
+    /// @return the size of what is kept until more of the response arrives
+    std::size_t BufferedBytes() const {
+      return body.size() + splitter.PendingBytes();
+    }
   };
 
   void Execute(const forwarding::StartAttempt& effect);
@@ -111,8 +116,10 @@
   void OnHead(RequestId id, AttemptId attempt, net::StreamHead head);
   void OnData(RequestId id, AttemptId attempt, std::string_view data);
   void OnEnd(RequestId id, AttemptId attempt, const net::StreamEnd& end);
-  /// @return whether a response body of this size may be kept in memory
-  bool MayBuffer(std::size_t size) const;
+  /// Ends the attempt with the largest buffered response if those of all
+  /// requests take too much memory.
+  /// @param grown request whose buffered bytes have just increased
+  void LimitBufferedBytes(const ActiveRequest& grown);
   void ForwardEvent(RequestId id,
                     ActiveRequest& active,
                     const codec::EventSplitter::Event& event);
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -26,11 +26,12 @@
 /// Largest response that is buffered as a whole, in bytes.
 constexpr std::size_t kMaxBufferedBytes = 16UL << 20U;
 
-/// Responses larger than this also share `kMaxTotalBufferedBytes`, in bytes.
-constexpr std::size_t kLargeResponseBytes = 1UL << 20U;
+/// Buffered bytes of one request from which on it shares
+/// `kMaxTotalBufferedBytes`.
+constexpr std::size_t kSmallResponseBytes = 16UL << 10U;
 
-/// Sum of all buffered responses above which a large one ends, in bytes. A VM
-/// has as little as 88 MB.
+/// Sum of all buffered responses and incomplete events above which the largest
+/// one ends, in bytes. A VM has as little as 88 MB.
 constexpr std::size_t kMaxTotalBufferedBytes = 20UL << 20U;
 
 /// Unsent bytes of a stream at which a slow caller is disconnected.
@@ -244,13 +245,14 @@
     return;
   }
   if (!active->streaming) {
-    if (!MayBuffer(active->body.size() + data.size())) {
+    active->body += data;
+    if (active->body.size() > kMaxBufferedBytes) {
       m_client.Cancel(active->call_id);
       EndAttempt(id, AttemptOutcome::kInvalidResponse,
                  "the response body is too large");
       return;
     }
-    active->body += data;
+    LimitBufferedBytes(*active);
     return;
   }
   try {
@@ -267,18 +269,31 @@
     Apply(forwarding::CallerDisconnected{id});
     m_active_requests.erase(id);
     exchange->Abort();
+    return;
   }
+  LimitBufferedBytes(*active);
 }
 
-bool ForwardingHost::MayBuffer(std::size_t size) const {
-  if (size <= kLargeResponseBytes) {
-    return true;
+void ForwardingHost::LimitBufferedBytes(const ActiveRequest& grown) {
+  if (grown.BufferedBytes() <= kSmallResponseBytes) {
+    return;
   }
   std::size_t total = 0;
-  for (const auto& [id, active] : m_active_requests) {
-    total += active.body.size();
+  auto largest = m_active_requests.begin();
+  for (auto it = m_active_requests.begin(); it != m_active_requests.end();
+       ++it) {
+    total += it->second.BufferedBytes();
+    if (it->second.BufferedBytes() > largest->second.BufferedBytes()) {
+      largest = it;
+    }
+  }
+  if (total > kMaxTotalBufferedBytes) {
+    // Most responses are small, so the largest one is the least likely to be
+    // sound.
+    m_client.Cancel(largest->second.call_id);
+    EndAttempt(largest->first, AttemptOutcome::kInvalidResponse,
+               "the responses in progress take too much memory");
   }
-  return size <= kMaxBufferedBytes && total <= kMaxTotalBufferedBytes;
 }
 
 void ForwardingHost::ForwardEvent(RequestId id,
--- a/packages/daemon/tests/endless_test.cc
+++ b/packages/daemon/tests/endless_test.cc
@@ -6,6 +6,7 @@
 #include <jasminehatch/emulator.h>
 #include <jasminehatch/net.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <chrono>
@@ -17,6 +18,7 @@
 #include <vector>
 
 #include "fleet.h"
+#include "forwarder_fixture.h"
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -178,6 +180,49 @@
   }
 }
 
+// Guards against responses that exhaust the memory together, although each one
+// is within the limit of a response, and against sound ones that end for them.
+TEST(Endless, ResponsesTogetherStayWithinTheLimit) {
+  constexpr std::size_t kResponseBytes = 900'000;
+  constexpr std::size_t kResponses = 40;
+  /// Responses of this size that fit into the 20 MiB for buffered responses.
+  constexpr std::size_t kFittingResponses = 23;
+  daemon::test::ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  emulator::ScriptedServer upstream(
+      fixture.Loop(), [&](const emulator::ScriptedServer::Request& request) {
+        const bool small =
+            request.text.find(" /again/small ") != std::string_view::npos;
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: " +
+            std::string(request.Header("X-Request-Id")) + "\r\n";
+        return emulator::ScriptedServer::Reply{
+            small ? head + "Content-Length: 4\r\n\r\ndone"
+                  : head + "Content-Length: 1000000\r\n\r\n" +
+                        std::string(kResponseBytes, 'a')};
+      });
+  fixture.UseOnly(upstream.Address());
+  std::vector<std::shared_ptr<daemon::test::CallerResponse>> responses;
+  for (std::size_t i = 0; i < kResponses; ++i) {
+    responses.push_back(fixture.Start("/once/large", "key", "60000"));
+  }
+  const auto ended = [&] {
+    return static_cast<std::size_t>(
+        std::count_if(responses.begin(), responses.end(),
+                      [](const auto& response) { return response->ended; }));
+  };
+  CHECK(fixture.RunUntil(
+      [&] { return ended() >= kResponses - kFittingResponses; }));
+  const auto small = fixture.Send("/again/small");
+  LONGS_EQUAL(200, small.head.status);
+  for (const auto& response : responses) {
+    if (response->ended) {
+      LONGS_EQUAL(502, response->head.status);
+      CHECK(response->body.find("\"may_have_run\"") != std::string::npos);
+    }
+  }
+}
+
 // Guards against a prompt of the product's own interface that an engine keeps
 // alive with bytes that are no event.
 TEST(Endless, PromptsEnd) {
--- a/packages/net/include/jasminehatch/detail/stream/stream_server.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_server.h
@@ -65,6 +65,11 @@
   /// @return the number of open connections
   std::size_t OpenConnections() const;
 
+  /// @return the size of the responses that callers have not read yet, in
+  /// bytes. Above 16 MiB, the server closes the connections with the largest
+  /// ones.
+  std::size_t UnsentBytes() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -61,7 +61,13 @@
   void End(std::size_t sequence);
   void Abort(std::size_t sequence);
   void SetClosedCallback(std::size_t sequence, std::function<void()> callback);
-  std::size_t UnsentBytes() const { return m_output.size() + m_writing.size(); }
+  /// @return the size of what the caller has yet to read
+  std::size_t UnsentBytes() const {
+    return m_socket.is_open() ? m_output.size() + m_writing.size() : 0;
+  }
+
+  /// Closes the connection and discards what was not sent.
+  void Drop() { CloseNow(); }
 
  private:
   enum class Phase {
--- a/packages/net/src/stream/stream_server.cc
+++ b/packages/net/src/stream/stream_server.cc
@@ -4,6 +4,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,11 @@
 
 constexpr int kBacklog = 1024;
 
+/// Sum of the responses that callers have not read yet, in bytes, above which
+/// the connections with the largest ones are closed. A VM has as little as
+/// 88 MB.
+constexpr std::size_t kMaxTotalUnsentBytes = 16UL << 20U;
+
 }  // namespace
 
 class StreamServer::Impl : public std::enable_shared_from_this<Impl> {
@@ -101,6 +107,12 @@
                       [](const auto& c) { return c->IsOpen(); }));
   }
 
+  std::size_t UnsentBytes() const {
+    return std::accumulate(
+        m_connections.begin(), m_connections.end(), std::size_t{0},
+        [](std::size_t sum, const auto& c) { return sum + c->UnsentBytes(); });
+  }
+
  private:
   void Accept() {
     m_acceptor.async_accept([self = shared_from_this()](
@@ -151,6 +163,17 @@
     return connection;
   }
 
+  /// Callers that do not read must not exhaust the memory of the others.
+  void LimitUnsentBytes() {
+    while (UnsentBytes() > kMaxTotalUnsentBytes) {
+      (*std::max_element(m_connections.begin(), m_connections.end(),
+                         [](const auto& left, const auto& right) {
+                           return left->UnsentBytes() < right->UnsentBytes();
+                         }))
+          ->Drop();
+    }
+  }
+
   void ScheduleTimeoutCheck() {
     m_check_timer.expires_after(kCheckInterval);
     m_check_timer.async_wait(
@@ -162,6 +185,7 @@
           for (const auto& connection : self->m_connections) {
             connection->CheckTimeouts(now);
           }
+          self->LimitUnsentBytes();
           std::erase_if(self->m_connections,
                         [](const auto& c) { return !c->IsOpen(); });
           self->ScheduleTimeoutCheck();
@@ -212,4 +236,8 @@
   return m_impl->OpenConnections();
 }
 
+std::size_t StreamServer::UnsentBytes() const {
+  return m_impl->UnsentBytes();
+}
+
 }  // namespace jasminehatch::net
