--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -102,6 +102,15 @@
   Options options;
 };
 
+/// The daemon was asked to stop, and ends soon after `end_by`.
+struct StopRequested {
+  /// From then on, a request is accepted only if its time limit ends before
+  /// `end_by`, so that it gets its response whatever the upstream does.
+  MonotonicTime accept_until{};
+  /// When every request that was accepted gets its final response.
+  MonotonicTime end_by{};
+};
+
 /// A caller sent a request.
 struct RequestReceived {
   RequestId request;
@@ -217,6 +226,7 @@
                            WeightsPublished,
                            PublicationAgeReceived,
                            OptionsChanged,
+                           StopRequested,
                            RequestReceived,
                            CallerDisconnected,
                            ResponseStarted,
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -35,6 +35,10 @@
   std::vector<std::uint64_t> shared_parts;
   std::string service;  ///< Service of the latest attempt.
   MonotonicTime arrived_at{};
+  /// Limit that the caller and the route set.
+  MonotonicTime requested_deadline{};
+  /// When it gets its final response; earlier than `requested_deadline` if the
+  /// daemon stops before.
   MonotonicTime deadline{};
   MonotonicTime timer{};  ///< Time of the entry in `State::timers`.
   std::optional<Attempt> attempt;
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -15,6 +15,7 @@
 #include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/cache_use_window.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
+#include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
@@ -35,6 +36,7 @@
   /// Freshness proof: when the latest read that returned the newest
   /// configuration was sent.
   std::optional<MonotonicTime> confirmed_at;
+  std::optional<StopRequested> stop;  ///< Set while the daemon stops.
   UpstreamDirectory upstreams;
   CacheStores stores;
   CacheUseWindow cache_use;
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -89,6 +89,10 @@
 }  // namespace
 
 void Reducer::Dispatch(Request& request) {
+  if (MayOutlastStop(request)) {
+    RefuseForStop(request);
+    return;
+  }
   if (request.deadline - m_now < kMinAttemptTime) {
     Refuse(request, RefusalCode::kDeadlineExceeded,
            "too little time left for an attempt");
@@ -413,9 +417,18 @@
       Retry(request, Counter::kRetryUpstreamRefused, event.detail)) {
     return;
   }
+  if (MayOutlastStop(request)) {
+    RefuseForStop(request);
+    return;
+  }
   Refuse(request, RefusalCode::kOverloaded, event.detail);
 }
 
+void Reducer::RefuseForStop(Request& request) {
+  Refuse(request, RefusalCode::kShuttingDown,
+         "the daemon stops before the time limit of the request");
+}
+
 void Reducer::HandleFailure(Request& request,
                             const AttemptEnded& event,
                             bool answered) {
@@ -450,7 +463,9 @@
 bool Reducer::Retry(Request& request,
                     Counter reason,
                     const std::string& detail) {
+  // A stream that has begun loses nothing by a further attempt.
   if (request.deadline - m_now < kMinAttemptTime ||
+      (MayOutlastStop(request) && !request.response_started) ||
       m_state.part_suspects.RefusalTimeLeft(request.shared_parts, m_now)) {
     return false;
   }
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -53,6 +53,7 @@
     m_state.upstreams.OnPublicationAge(event.publication, m_now);
   }
   void Apply(const OptionsChanged& event) { m_state.options = event.options; }
+  void Apply(const StopRequested& event);
   void Apply(const RequestReceived& event);
   void Apply(const CallerDisconnected& event);
   void Apply(const ResponseStarted& event);
@@ -115,6 +116,12 @@
 
   /// @return whether the request may proceed; otherwise it is refused
   bool Authorize(Request& request);
+  /// Sets the deadline, which a stop of the daemon may shorten.
+  void SetDeadline(Request& request, MonotonicTime requested) const;
+  /// @return whether an attempt that starts now could still be running when the
+  /// daemon ends
+  bool MayOutlastStop(const Request& request) const;
+  void RefuseForStop(Request& request);
   void ChooseService(Request& request);
   /// Records a crash report, and broadcasts it if it is new.
   void RecordCrash(const CrashReport& report);
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -69,7 +69,7 @@
   request.last_event = event.resume_after;
   request.expected_tokens = event.prompt ? ExpectedTokens(*event.prompt) : 0;
   request.shared_parts = HashSharedParts(event.prompt);
-  request.deadline = m_now + event.time_left.value_or(kDefaultTimeout);
+  SetDeadline(request, m_now + event.time_left.value_or(kDefaultTimeout));
   if (!m_state.table) {
     Refuse(request, RefusalCode::kConfigurationStale,
            "no configuration has been read yet");
@@ -81,8 +81,8 @@
     return;
   }
   if (request.route->timeout > Duration::zero()) {
-    request.deadline =
-        std::min(request.deadline, m_now + request.route->timeout);
+    SetDeadline(request, std::min(request.requested_deadline,
+                                  m_now + request.route->timeout));
   }
   ChooseService(request);
   if (!TryProbe(request) && RefuseIfCrashSuspect(request)) {
@@ -92,6 +92,28 @@
   Dispatch(request);
 }
 
+void Reducer::Apply(const StopRequested& event) {
+  m_state.stop = event;
+  for (auto& [id, request] : m_state.requests) {
+    SetDeadline(request, request.requested_deadline);
+    SetTimer(request);
+  }
+}
+
+void Reducer::SetDeadline(Request& request, MonotonicTime requested) const {
+  request.requested_deadline = requested;
+  request.deadline =
+      m_state.stop ? std::min(requested, m_state.stop->end_by) : requested;
+}
+
+bool Reducer::MayOutlastStop(const Request& request) const {
+  if (!m_state.stop || request.requested_deadline <= m_state.stop->end_by) {
+    return false;
+  }
+  return m_now >= m_state.stop->accept_until ||
+         request.deadline - m_now < kMinAttemptTime;
+}
+
 bool Reducer::Authorize(Request& request) {
   const bool current = ConfigurationIsCurrent();
   if (request.route == nullptr) {
@@ -243,6 +265,10 @@
     if (code == RefusalCode::kCrashSuspect) {
       refusal.retry_after = CrashRefusalTimeLeft(request);
     }
+    if (code == RefusalCode::kShuttingDown) {
+      // Other daemons accept the request at once.
+      refusal.retry_after = Duration::zero();
+    }
   }
   m_effects.emplace_back(std::move(refusal));
   Erase(request);
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -114,6 +114,14 @@
 constexpr milliseconds kBalancerDetectionTime{2600};
 
 constexpr milliseconds kStopCheckInterval{50};
+
+/// Time before the end of the stop grace period at which the process ends by
+/// itself; the platform terminates it soon after.
+constexpr milliseconds kExitMargin{300};
+
+/// Time before that at which all requests have their final responses, which
+/// have yet to reach the callers.
+constexpr milliseconds kFinalResponseTime{200};
 constexpr milliseconds kLogFlushInterval{200};
 
 net::IpPort RequireIpPort(const std::string& text) {
@@ -252,6 +260,11 @@
     m_log.Write(DecisionLog::Level::kState, "stopping", {});
     m_on_stopped = std::move(on_stopped);
     m_stop_requested_at = m_clock.Now();
+    m_exit_at = m_stop_requested_at + m_settings.stop_grace - kExitMargin;
+    const MonotonicTime end_by = m_exit_at - kFinalResponseTime;
+    m_host.Apply(forwarding::StopRequested{
+        std::min(m_stop_requested_at + kBalancerDetectionTime, end_by),
+        end_by});
     m_server->CloseAfterResponses();
     m_rollout.Stop();
     if (m_gossip) {
@@ -334,6 +347,7 @@
   MonotonicTime m_proof_requested_at{};
   std::function<void()> m_on_stopped;
   MonotonicTime m_stop_requested_at{};
+  MonotonicTime m_exit_at{};  ///< Latest end of a process that is stopping.
   bool m_stopping = false;
   bool m_accepting = true;
   bool m_registry_populated = false;
@@ -610,15 +624,14 @@
 }
 
 void Forwarder::Impl::CheckStop() {
-  const auto age = m_clock.Now() - m_stop_requested_at;
-  if (age >= kBalancerDetectionTime && std::exchange(m_accepting, false)) {
+  const MonotonicTime now = m_clock.Now();
+  if (now - m_stop_requested_at >= kBalancerDetectionTime &&
+      std::exchange(m_accepting, false)) {
     m_server->StopAccepting();
   }
   const bool idle = !m_accepting && m_server->BusyConnections() == 0 &&
                     !m_rollout.IsReleasing();
-  // The platform terminates the process soon after this.
-  const bool out_of_time = age >= m_settings.stop_grace - milliseconds(300);
-  if (idle || out_of_time) {
+  if (idle || now >= m_exit_at) {
     if (m_gossip) {
       m_gossip->Stop();
     }
