--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -240,6 +240,24 @@
   UNSIGNED_LONGS_EQUAL(16, decoded.changes.at(0).part.tokens);
 }
 
+// Guards against a datagram nested so deeply that decoding it exhausts the
+// stack.
+TEST(ForwarderCodec, DeeplyNestedDatagramsAreRejected) {
+  constexpr std::size_t kMaxDatagramBytes = 65507;
+  constexpr char kArrayOfOne = '\x91';
+  constexpr std::string_view kObjectOfOne = "\x81\xa1k";
+  const std::string arrays(kMaxDatagramBytes - 1, kArrayOfOne);
+  std::string objects;
+  while (objects.size() + kObjectOfOne.size() < kMaxDatagramBytes) {
+    objects += kObjectOfOne;
+  }
+  for (const std::string& nested : {arrays, objects}) {
+    CHECK_THROWS(CodecError, GossipMessage::Decode(nested));
+    CHECK_THROWS(CodecError, RelayPoll::Decode(RelayPoll::kMark + nested));
+    CHECK_THROWS(CodecError, RelayAnswer::Decode(RelayAnswer::kMark + nested));
+  }
+}
+
 // Guards against a crash on a malformed relay message.
 TEST(ForwarderCodec, MalformedRelayMessagesAreRejected) {
   const std::string poll = RelayPoll{"e1", 5, {{1, 2, 3}}}.Encode();
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -303,6 +303,9 @@
   void OnOperatorRecords(std::span<const platform::StoreRecord> records,
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
+  /// @return the entry, or nothing, with a log line, if the record is none
+  std::optional<forwarding::UpstreamEntry> DecodeUpstream(
+      const platform::StoreRecord& record);
   /// Called when this daemon has read all that the registry has.
   void OnRegistryKnown();
   void UpdateCacheStoreFollowers();
@@ -420,8 +423,7 @@
   callbacks.on_snapshot = [this](auto records) {
     forwarding::UpstreamsListed listed;
     for (const platform::StoreRecord& record : records) {
-      if (auto entry =
-              platform::DecodeUpstreamRecord(record.key, record.value)) {
+      if (auto entry = DecodeUpstream(record)) {
         listed.entries.push_back(std::move(*entry));
       }
     }
@@ -607,16 +609,22 @@
       m_host.Apply(forwarding::UpstreamRemoved{record.key});
       continue;
     }
-    auto entry = platform::DecodeUpstreamRecord(record.key, record.value);
-    if (!entry) {
-      LogDependency("upstream_record_invalid", record.key, "");
-      continue;
+    if (auto entry = DecodeUpstream(record)) {
+      m_registry_populated = true;
+      m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
     }
-    m_registry_populated = true;
-    m_host.Apply(forwarding::UpstreamRegistered{std::move(*entry)});
   }
 }
 
+std::optional<forwarding::UpstreamEntry> Forwarder::Impl::DecodeUpstream(
+    const platform::StoreRecord& record) {
+  auto entry = platform::DecodeUpstreamRecord(record.key, record.value);
+  if (!entry) {
+    LogDependency("upstream_record_invalid", record.key, "");
+  }
+  return entry;
+}
+
 void Forwarder::Impl::OnRegistryKnown() {
   m_rollout.SetStandby(m_registry.Role() == relay::FeedRole::kFollower);
   m_rollout.Update();
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -181,7 +181,7 @@
                                  const std::string& zone,
                                  std::uint64_t incarnation) {
   const auto parsed = net::ParseIpPort(address);
-  if (name == m_options.daemon || !parsed) {
+  if (name.empty() || name == m_options.daemon || !parsed) {
     return;
   }
   asio::error_code error;
--- a/packages/daemon/tests/forwarder_path_test.cc
+++ b/packages/daemon/tests/forwarder_path_test.cc
@@ -361,3 +361,37 @@
   UNSIGNED_LONGS_EQUAL(2, arrivals);
   UNSIGNED_LONGS_EQUAL(0, fixture.RunCount());
 }
+
+// Guards against a daemon that stops following the registry at a record that
+// cannot be read, and keeps sending requests to upstreams that left.
+TEST(ForwarderPath, RecordsAfterAnOddOneAreFollowed) {
+  ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  auto& platform = fixture.Platform();
+  platform.PutRaw("keyed.servers", "\xffno key");
+  platform.PutRaw("keyed.servers", "");
+  platform.PutUpstream("odd", std::string(100'000, '['));
+  platform.PutUpstream("line\r\nbreak",
+                       fixture.Upstream(0).Entry("desk", false));
+  platform.PutUpstream(
+      "port", fixture.Upstream(0).Entry("desk", false, "127.0.0.1:99999"));
+  fixture.Register(fixture.Upstream(0), true);
+  CHECK(fixture.RunUntil([&] {
+    const std::size_t ran = fixture.Upstream(0).Ran().size();
+    for (int i = 0; i < 10; ++i) {
+      LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
+    }
+    return fixture.Upstream(0).Ran().size() == ran;
+  }));
+  CHECK(!fixture.Upstream(1).Ran().empty());
+}
+
+// Guards against a daemon that never starts because a listing has an item that
+// cannot be read.
+TEST(ForwarderPath, AListingWithAnOddItemIsRead) {
+  ForwarderFixture fixture;
+  fixture.Platform().PutUpstream("a b", "\xfe");
+  fixture.Platform().PutUpstream("odd", "5");
+  CHECK(fixture.WaitUntilReady());
+  LONGS_EQUAL(200, fixture.Send("/once/x").head.status);
+}
--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -40,6 +40,11 @@
            const std::string& key,
            const std::string& value);
 
+  /// Writes a record whose content need not have a key.
+  void PutRaw(const std::string& topic, const std::string& content) {
+    AddRecord(topic, content);
+  }
+
   /// Writes a configuration, as the operators do.
   void PutConfiguration(const std::string& configuration);
 
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -99,10 +99,12 @@
 void PlatformEmulator::AddRecord(const std::string& topic,
                                  const std::string& content) {
   Topic& target = m_topics[topic];
-  if (IsKeyed(topic)) {
+  if (IsKeyed(topic) && !content.empty()) {
     const std::size_t length = static_cast<unsigned char>(content[0]);
     const std::string key = content.substr(1, length);
-    if (content.size() > 1 + length) {
+    if (content.size() < 1 + length) {
+      // Without a complete key it replaces no record.
+    } else if (content.size() > 1 + length) {
       target.newest[key] = {target.End(), content.substr(1 + length)};
     } else {
       target.newest.erase(key);
