Share what the daemon tests wrote twice

RunUntil and the callbacks that store a caller's response stand once; the hang of the stop tests too. No check changes; the tests of wire faults keep their own loop, which checks the condition after each handler.

--- a/packages/daemon/tests/endless_test.cc
+++ b/packages/daemon/tests/endless_test.cc
@@ -28,7 +28,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{20};
 constexpr std::chrono::milliseconds kDeadline{700};
 
 /// A stream event that never ends, and events that no caller can use.
@@ -69,15 +68,7 @@
 
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kTimeout;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) {
-        return false;
-      }
-      m_loop.restart();
-      m_loop.run_for(5ms);
-    }
-    return true;
+    return jasminehatch::testing::RunUntil(m_loop, condition);
   }
 
   /// @brief What the caller of a request received.
--- a/packages/daemon/tests/forwarder_fixture.cc
+++ b/packages/daemon/tests/forwarder_fixture.cc
@@ -78,18 +78,7 @@
       {"X-Deadline-Ms", deadline},
       {"Authorization", "Token " + key},
       {"X-Tenant", "forged"}};
-  net::StreamClient::Callbacks callbacks;
-  callbacks.on_head = [response](net::StreamHead head) {
-    response->head = std::move(head);
-  };
-  callbacks.on_data = [response](std::string_view data) {
-    response->body += data;
-  };
-  callbacks.on_end = [response](const net::StreamEnd& end) {
-    response->end = end;
-    response->ended = true;
-  };
-  m_call = m_client.Start(std::move(call), std::move(callbacks));
+  m_call = m_client.Start(std::move(call), StoreIn(response));
   return response;
 }
 
--- a/packages/daemon/tests/forwarder_fixture.h
+++ b/packages/daemon/tests/forwarder_fixture.h
@@ -14,6 +14,9 @@
 #include <string>
 #include <vector>
 
+#include "caller_response.h"
+#include "jasminehatch/detail/testing/run_until.h"
+
 namespace jasminehatch::daemon::test {
 
 /// @return a configuration with routes of each kind to the service `desk`, on
@@ -21,18 +24,6 @@
 /// (resumable); the last two allow two attempts
 std::string ForwarderConfiguration(int version, const std::string& key);
 
-/// @brief What a caller received.
-struct CallerResponse {
-  bool ended = false;
-  net::StreamHead head;
-  std::string body;
-  net::StreamEnd end;
-
-  std::string Header(const char* name) const {
-    return std::string(net::FindHeader(head.headers, name));
-  }
-};
-
 /// @brief A forwarding daemon, the platform's store and two upstreams on one
 /// loop.
 class ForwarderFixture {
@@ -50,15 +41,7 @@
   /// @return whether it held within the time limit
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kTimeout;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) {
-        return false;
-      }
-      m_loop.restart();
-      m_loop.run_for(std::chrono::milliseconds(5));
-    }
-    return true;
+    return jasminehatch::testing::RunUntil(m_loop, condition);
   }
 
   bool WaitUntilReady() {
@@ -96,8 +79,6 @@
   Forwarder& Daemon() { return *m_daemon; }
 
  private:
-  static constexpr std::chrono::seconds kTimeout{20};
-
   asio::io_context m_loop;
   emulator::LoopbackHost m_host;
   net::BootClock m_clock;
--- a/packages/daemon/tests/forwarder_stop_test.cc
+++ b/packages/daemon/tests/forwarder_stop_test.cc
@@ -82,6 +82,13 @@
   bool m_closed = false;
 };
 
+/// The behaviour of upstreams that never respond.
+UpstreamResponse Hang(const net::HttpRequest& /*request*/) {
+  UpstreamResponse response;
+  response.kind = UpstreamResponse::Kind::kHang;
+  return response;
+}
+
 /// @return whether the daemon accepts a connection
 bool Accepts(asio::io_context& loop, const std::string& address) {
   const auto ip_port = net::ParseIpPort(address);
@@ -99,11 +106,7 @@
 TEST(ForwarderStop, FinishesRequestsInProgress) {
   ForwarderFixture fixture;
   CHECK(fixture.WaitUntilReady());
-  fixture.SetBehaviour([](const auto&) {
-    UpstreamResponse response;
-    response.kind = UpstreamResponse::Kind::kHang;
-    return response;
-  });
+  fixture.SetBehaviour(&Hang);
   const auto running = fixture.Start("/once/x", "key", "1500");
   CHECK(fixture.RunUntil([&] { return fixture.RunCount() == 1; }));
   bool stopped = false;
@@ -119,11 +122,7 @@
 TEST(ForwarderStop, LateRequestsAreRefusedBeforeTheyArePassedOn) {
   ForwarderFixture fixture;
   CHECK(fixture.WaitUntilReady());
-  fixture.SetBehaviour([](const auto&) {
-    UpstreamResponse response;
-    response.kind = UpstreamResponse::Kind::kHang;
-    return response;
-  });
+  fixture.SetBehaviour(&Hang);
   // Keeps the daemon from ending early; its own upstream never responds.
   const auto running = fixture.Start("/once/x", "key", "60000");
   CHECK(fixture.RunUntil([&] { return fixture.RunCount() == 1; }));
@@ -158,11 +157,7 @@
   // Shorter than the time limit of the route.
   ForwarderFixture fixture(std::chrono::milliseconds(2500));
   CHECK(fixture.WaitUntilReady());
-  fixture.SetBehaviour([](const auto&) {
-    UpstreamResponse response;
-    response.kind = UpstreamResponse::Kind::kHang;
-    return response;
-  });
+  fixture.SetBehaviour(&Hang);
   bool stopped = false;
   fixture.Daemon().Stop([&] { stopped = true; });
   const auto late = fixture.Start("/once/x", "key", "60000");
--- a/packages/daemon/tests/wire_faults_test.cc
+++ b/packages/daemon/tests/wire_faults_test.cc
@@ -18,23 +18,26 @@
 #include <utility>
 #include <vector>
 
+#include "caller_response.h"
+#include "jasminehatch/detail/testing/run_until.h"
+
 // Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace jasminehatch;
+using daemon::test::StoreIn;
 using emulator::PlatformEmulator;
 using emulator::ScriptedServer;
 using emulator::UpstreamEmulator;
 using After = ScriptedServer::After;
 using Reply = ScriptedServer::Reply;
 using Request = ScriptedServer::Request;
+using Response = daemon::test::CallerResponse;
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{20};
-
 constexpr char kConfiguration[] = R"({"version":1,"routes":[
 {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"non_idempotent",
 "timeoutMs":3000,"sloMs":150,"priority":2,"service":"desk","attempts":2,
@@ -47,18 +50,6 @@
 "resumable":true,"targetGapMs":300,"public":true}],
 "services":[{"name":"desk","maxConns":50}],"tenants":[]})";
 
-/// @brief What a caller received.
-struct Response {
-  bool ended = false;
-  net::StreamHead head;
-  std::string body;
-  net::StreamEnd end;
-
-  bool IsComplete() const {
-    return ended && end.kind == net::StreamEnd::Kind::kComplete;
-  }
-};
-
 /// @brief A daemon, the platform's store and scripted upstreams on one loop.
 class WireFaultFixture {
  public:
@@ -92,9 +83,11 @@
                    UpstreamEmulator(m_loop, id).Entry("desk", false, address));
   }
 
+  /// Checks the condition after each handler.
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kTimeout;
+    const auto end =
+        std::chrono::steady_clock::now() + jasminehatch::testing::kRunTimeout;
     while (!condition()) {
       if (std::chrono::steady_clock::now() > end) {
         return false;
@@ -136,18 +129,7 @@
     call.headers = {{"Host", "h.example"},
                     {"X-Request-Id", "request-" + number},
                     {"X-Deadline-Ms", "2500"}};
-    net::StreamClient::Callbacks callbacks;
-    callbacks.on_head = [response](net::StreamHead head) {
-      response->head = std::move(head);
-    };
-    callbacks.on_data = [response](std::string_view data) {
-      response->body += data;
-    };
-    callbacks.on_end = [response](const net::StreamEnd& end) {
-      response->end = end;
-      response->ended = true;
-    };
-    m_client.Start(std::move(call), std::move(callbacks));
+    m_client.Start(std::move(call), StoreIn(response));
     CHECK(RunUntil([&] { return response->ended; }));
     return *response;
   }
