--- a/packages/net/src/http/ip_port.cc
+++ b/packages/net/src/http/ip_port.cc
@@ -4,6 +4,16 @@
 #include <charconv>
 
 namespace jasminehatch::net {
+namespace {
+
+/// The parser of Asio ignores what follows a zero byte, and accepts any text as
+/// the scope of an IPv6 address.
+bool HasOnlyAddressCharacters(std::string_view ip) {
+  return ip.find_first_not_of("0123456789abcdefABCDEF.:") ==
+         std::string_view::npos;
+}
+
+}  // namespace
 
 std::optional<IpPort> ParseIpPort(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -16,7 +26,8 @@
   const auto port = std::from_chars(text.data() + colon + 1, end, parsed.port);
   asio::error_code error;
   asio::ip::make_address(parsed.ip, error);
-  if (error || port.ec != std::errc() || port.ptr != end) {
+  if (error || !HasOnlyAddressCharacters(parsed.ip) || port.ec != std::errc() ||
+      port.ptr != end) {
     return std::nullopt;
   }
   return parsed;
