--- a/packages/codec/include/jasminehatch/detail/sse/event_splitter.h
+++ b/packages/codec/include/jasminehatch/detail/sse/event_splitter.h
@@ -33,7 +33,11 @@
   /// @return the size of the incomplete event at the end
   std::size_t PendingBytes() const { return m_pending.size(); }
 
-  void Clear() { m_pending.clear(); }
+  /// @return the memory that the splitter takes, in bytes
+  std::size_t BufferedBytes() const { return m_pending.capacity(); }
+
+  /// Discards the incomplete event and frees its memory.
+  void Clear() { std::string().swap(m_pending); }
 
  private:
   std::string m_pending;
--- a/packages/codec/src/sse/event_splitter.cc
+++ b/packages/codec/src/sse/event_splitter.cc
@@ -7,6 +7,9 @@
 namespace jasminehatch::codec {
 namespace {
 
+/// Memory that is kept for further events, in bytes.
+constexpr std::size_t kMaxSpareBytes = 32UL << 10U;
+
 /// @return the end of the first event, or npos
 std::size_t FindEventEnd(std::string_view text, std::size_t from) {
   for (std::size_t line_end = text.find('\n', from);
@@ -59,6 +62,10 @@
     end = FindEventEnd(rest, 0);
   }
   m_pending.erase(0, m_pending.size() - rest.size());
+  if (m_pending.capacity() > kMaxSpareBytes &&
+      m_pending.size() <= kMaxSpareBytes / 2) {
+    m_pending.shrink_to_fit();
+  }
   if (m_pending.size() > kMaxEventBytes) {
     throw CodecError(203, "a server-sent event is larger than 1 MiB");
   }
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -97,9 +97,10 @@
     bool event_received = false;  ///< In the current attempt.
     bool head_sent = false;  ///< The response's head was sent to the caller.
 
-    /// @return the size of what is kept until more of the response arrives
+    /// @return the memory that the response takes until it is delivered, in
+    /// bytes, with the spare capacity of its buffers
     std::size_t BufferedBytes() const {
-      return body.size() + splitter.PendingBytes();
+      return body.capacity() + splitter.BufferedBytes();
     }
   };
 
@@ -118,8 +119,9 @@
   void OnEnd(RequestId id, AttemptId attempt, const net::StreamEnd& end);
   /// Ends the attempt with the largest buffered response if those of all
   /// requests take too much memory.
-  /// @param grown request whose buffered bytes have just increased
-  void LimitBufferedBytes(const ActiveRequest& grown);
+  /// @param grown request that received a part of its response
+  /// @param before its buffered bytes before that
+  void LimitBufferedBytes(const ActiveRequest& grown, std::size_t before);
   void ForwardEvent(RequestId id,
                     ActiveRequest& active,
                     const codec::EventSplitter::Event& event);
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -47,6 +47,17 @@
   return value;
 }
 
+/// Appends to a body of at most `kMaxBufferedBytes`, whose buffer grows to no
+/// more than that.
+void AppendBody(std::string_view data, std::string& body) {
+  const std::size_t size = body.size() + data.size();
+  if (size > body.capacity()) {
+    body.reserve(
+        std::min(std::max(size, 2 * body.capacity()), kMaxBufferedBytes));
+  }
+  body += data;
+}
+
 std::string MakeRefusalBody(RefusalCode code,
                             Verdict verdict,
                             std::string_view request,
@@ -165,7 +176,8 @@
   active.route_kind = effect.route_kind;
   active.head = {};
   active.metadata = {};
-  active.body.clear();
+  // The memory of the failed attempt is freed, too.
+  std::string().swap(active.body);
   active.splitter.Clear();
   active.streaming = false;
   active.event_received = false;
@@ -244,15 +256,16 @@
   if (active == nullptr) {
     return;
   }
+  const std::size_t bytes_before = active->BufferedBytes();
   if (!active->streaming) {
-    active->body += data;
-    if (active->body.size() > kMaxBufferedBytes) {
+    if (active->body.size() + data.size() > kMaxBufferedBytes) {
       m_client.Cancel(active->call_id);
       EndAttempt(id, AttemptOutcome::kInvalidResponse,
                  "the response body is too large");
       return;
     }
-    LimitBufferedBytes(*active);
+    AppendBody(data, active->body);
+    LimitBufferedBytes(*active, bytes_before);
     return;
   }
   try {
@@ -271,11 +284,13 @@
     exchange->Abort();
     return;
   }
-  LimitBufferedBytes(*active);
+  LimitBufferedBytes(*active, bytes_before);
 }
 
-void ForwardingHost::LimitBufferedBytes(const ActiveRequest& grown) {
-  if (grown.BufferedBytes() <= kSmallResponseBytes) {
+void ForwardingHost::LimitBufferedBytes(const ActiveRequest& grown,
+                                        std::size_t before) {
+  // Buffers grow by a factor, so that few parts of a large response come here.
+  if (grown.BufferedBytes() <= std::max(before, kSmallResponseBytes)) {
     return;
   }
   std::size_t total = 0;
--- a/packages/daemon/tests/endless_test.cc
+++ b/packages/daemon/tests/endless_test.cc
@@ -13,12 +13,14 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "fleet.h"
 #include "forwarder_fixture.h"
+#include "jasminehatch/detail/testing/heap_bytes.h"
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -149,6 +151,91 @@
   }
 }
 
+/// What all responses in progress may take together, in bytes.
+constexpr std::size_t kMaxTotalBufferedBytes = 20UL << 20U;
+
+/// @return the head of a sound response to the request, without its end
+std::string SoundHead(const emulator::ScriptedServer::Request& request) {
+  return "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: " +
+         std::string(request.Header("X-Request-Id")) + "\r\n";
+}
+
+bool IsSmall(const emulator::ScriptedServer::Request& request) {
+  return request.text.find(" /again/small ") != std::string_view::npos;
+}
+
+/// @brief Two upstreams of a forwarding daemon with the same script, which get
+/// many requests at once.
+class FaultyUpstreams {
+ public:
+  explicit FaultyUpstreams(emulator::ScriptedServer::Script script)
+      : m_first(m_fixture.Loop(), WithSmallResponses(script)),
+        m_second(m_fixture.Loop(), WithSmallResponses(std::move(script))) {
+    CHECK(m_fixture.WaitUntilReady());
+    m_fixture.UseOnly(m_first.Address());
+    m_fixture.Platform().PutUpstream(
+        "second", emulator::UpstreamEmulator(m_fixture.Loop(), "second")
+                      .Entry("desk", false, m_second.Address()));
+    // The second one gets requests while the first one is at work.
+    CHECK(m_fixture.RunUntil([&] {
+      m_fixture.Start("/again/small");
+      m_fixture.Send("/again/small");
+      return m_second.Requests() > 0;
+    }));
+  }
+
+  /// Sends requests at once and runs the loop until the upstreams have received
+  /// `attempts` of them, each caller has received `response_bytes`, and one
+  /// more small request is answered.
+  /// @return by how many bytes the heap has grown since, without what the
+  /// callers received
+  std::size_t HeapGrowth(const std::string& path,
+                         std::size_t requests,
+                         std::size_t attempts,
+                         std::size_t response_bytes = 0) {
+    const std::size_t heap_before = testing::HeapBytes();
+    const std::size_t requests_before = Requests();
+    std::vector<std::shared_ptr<daemon::test::CallerResponse>> responses;
+    for (std::size_t i = 0; i < requests; ++i) {
+      responses.push_back(m_fixture.Start(path, "key", "60000"));
+    }
+    CHECK(m_fixture.RunUntil([&] {
+      return Requests() >= requests_before + attempts &&
+             std::all_of(responses.begin(), responses.end(),
+                         [&](const auto& response) {
+                           return response->body.size() >= response_bytes;
+                         });
+    }));
+    LONGS_EQUAL(200, m_fixture.Send("/again/small").head.status);
+    std::size_t heap = testing::HeapBytes();
+    for (const auto& response : responses) {
+      heap -= response->body.capacity();
+    }
+    return heap > heap_before ? heap - heap_before : 0;
+  }
+
+ private:
+  static emulator::ScriptedServer::Script WithSmallResponses(
+      emulator::ScriptedServer::Script script) {
+    return [script = std::move(script)](
+               const emulator::ScriptedServer::Request& request) {
+      return IsSmall(request)
+                 ? emulator::ScriptedServer::Reply{SoundHead(request) +
+                                                   "Content-Length: 4\r\n\r\n"
+                                                   "done"}
+                 : script(request);
+    };
+  }
+
+  std::size_t Requests() const {
+    return m_first.Requests() + m_second.Requests();
+  }
+
+  daemon::test::ForwarderFixture m_fixture;
+  emulator::ScriptedServer m_first;
+  emulator::ScriptedServer m_second;
+};
+
 }  // namespace
 
 TEST_GROUP_BASE(Endless, jasminehatch::testing::LeakDetectorOff){};
@@ -182,15 +269,11 @@
   CHECK(fixture.WaitUntilReady());
   emulator::ScriptedServer upstream(
       fixture.Loop(), [&](const emulator::ScriptedServer::Request& request) {
-        const bool small =
-            request.text.find(" /again/small ") != std::string_view::npos;
-        const std::string head =
-            "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: " +
-            std::string(request.Header("X-Request-Id")) + "\r\n";
+        const std::string head = SoundHead(request);
         return emulator::ScriptedServer::Reply{
-            small ? head + "Content-Length: 4\r\n\r\ndone"
-                  : head + "Content-Length: 1000000\r\n\r\n" +
-                        std::string(kResponseBytes, 'a')};
+            IsSmall(request) ? head + "Content-Length: 4\r\n\r\ndone"
+                             : head + "Content-Length: 1000000\r\n\r\n" +
+                                   std::string(kResponseBytes, 'a')};
       });
   fixture.UseOnly(upstream.Address());
   std::vector<std::shared_ptr<daemon::test::CallerResponse>> responses;
@@ -214,6 +297,40 @@
   }
 }
 
+// Guards against memory that the failed attempt of a request still takes while
+// the request runs again, beside the memory of all others.
+TEST(Endless, FailedAttemptsTakeNoMemory) {
+  constexpr std::size_t kRequests = 40;
+  const std::string body = "dbba0\r\n" + std::string(900'000, 'a') + "\r\n";
+  std::set<std::string> seen;
+  FaultyUpstreams upstreams(
+      [&](const emulator::ScriptedServer::Request& request) {
+        const bool first = seen.emplace(request.Header("X-Request-Id")).second;
+        return emulator::ScriptedServer::Reply{
+            first ? SoundHead(request) + "Transfer-Encoding: chunked\r\n\r\n" +
+                        body + "no chunk\r\n"
+                  : ""};
+      });
+  CHECK(upstreams.HeapGrowth("/again/large", kRequests, 2 * kRequests) <
+        kMaxTotalBufferedBytes);
+}
+
+// Guards against streams with one large event each that keep its memory for as
+// long as they last.
+TEST(Endless, ForwardedEventsTakeNoMemory) {
+  constexpr std::size_t kRequests = 40;
+  constexpr std::size_t kEventBytes = 400'000;
+  const std::string event = "id: 1\ndata: " + std::string(kEventBytes, 'a');
+  FaultyUpstreams upstreams(
+      [&](const emulator::ScriptedServer::Request& request) {
+        return emulator::ScriptedServer::Reply{
+            SoundHead(request) + "Content-Type: text/event-stream\r\n\r\n" +
+            event + "\n\ndata: "};
+      });
+  CHECK(upstreams.HeapGrowth("/stream/large", kRequests, kRequests,
+                             kEventBytes) < kMaxTotalBufferedBytes);
+}
+
 // Guards against a prompt of the product's own interface that an engine keeps
 // alive with bytes that are no event.
 TEST(Endless, PromptsEnd) {
