--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -14,6 +14,9 @@
 /// Bytes of pipelined requests that are buffered while one is in progress.
 constexpr std::size_t kMaxPipelinedBytes = 64UL << 10U;
 
+/// Memory of a sent response that is kept for further ones, in bytes.
+constexpr std::size_t kMaxSpareBytes = 16UL << 10U;
+
 /// Time for a caller to receive the last response before the connection is
 /// closed.
 constexpr std::chrono::milliseconds kLingerTimeout{500};
@@ -328,7 +331,7 @@
                     [self = shared_from_this()](const asio::error_code& error,
                                                 std::size_t /*length*/) {
                       self->m_write_pending = false;
-                      self->m_writing.clear();
+                      self->ReleaseWritten();
                       if (error) {
                         self->CloseNow();
                         return;
@@ -337,6 +340,13 @@
                     });
 }
 
+void ServerConnection::ReleaseWritten() {
+  m_writing.clear();
+  if (m_writing.capacity() > kMaxSpareBytes) {
+    m_writing.shrink_to_fit();
+  }
+}
+
 void ServerConnection::BeginClosing() {
   // Closing with unread input would reset the connection, and the caller could
   // lose the response.
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -93,6 +93,8 @@
   std::string FormatHead(int status, const HttpHeaders& headers) const;
   void Flush();
   void FinishResponse();
+  /// Frees the memory of what was sent.
+  void ReleaseWritten();
   void BeginClosing();
   void CloseNow();
   void NotifyClosed();
--- a/packages/net/tests/unsent_responses_test.cc
+++ b/packages/net/tests/unsent_responses_test.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "jasminehatch/detail/testing/heap_bytes.h"
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -75,3 +76,42 @@
   const std::size_t length = small->read_some(asio::buffer(buffer));
   CHECK(std::string(buffer.data(), length).ends_with("small"));
 }
+
+// Guards against open connections that keep the memory of responses that their
+// callers have read.
+TEST(UnsentResponses, ReadOnesTakeNoMemory) {
+  constexpr std::size_t kCallers = 8;
+  constexpr std::size_t kResponseBytes = 4UL << 20U;
+  asio::io_context loop;
+  StreamServer server(loop, "127.0.0.1", 0,
+                      [&](const std::shared_ptr<ServerExchange>& exchange) {
+                        exchange->Send(200, {},
+                                       std::string(kResponseBytes, 'a'));
+                      });
+  const std::size_t heap_before = jasminehatch::testing::HeapBytes();
+  std::vector<std::unique_ptr<tcp::socket>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<tcp::socket>(loop, tcp::v4()));
+    callers.back()->connect(
+        {asio::ip::make_address("127.0.0.1"), server.Port()});
+    callers.back()->non_blocking(true);
+    asio::write(*callers.back(),
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  std::array<char, 65536> buffer{};
+  std::size_t received = 0;
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  while (received < kCallers * kResponseBytes &&
+         std::chrono::steady_clock::now() < end) {
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(1));
+    for (const auto& caller : callers) {
+      asio::error_code ignored;
+      received += caller->read_some(asio::buffer(buffer), ignored);
+    }
+  }
+  loop.restart();
+  loop.run_for(std::chrono::milliseconds(5));
+  UNSIGNED_LONGS_EQUAL(kCallers, server.OpenConnections());
+  CHECK(jasminehatch::testing::HeapBytes() < heap_before + kMaxUnsentBytes);
+}
