--- a/packages/daemon/tests/endless_test.cc
+++ b/packages/daemon/tests/endless_test.cc
@@ -331,6 +331,23 @@
                              kEventBytes) < kMaxTotalBufferedBytes);
 }
 
+// Guards against heads that exhaust the memory together: each line takes more
+// memory than bytes on the wire.
+TEST(Endless, HeadsTogetherStayWithinTheLimit) {
+  constexpr std::size_t kRequests = 40;
+  constexpr std::size_t kLines = 13'000;
+  std::string lines;
+  for (std::size_t i = 0; i < kLines; ++i) {
+    lines += "a:b\r\n";
+  }
+  FaultyUpstreams upstreams(
+      [&](const emulator::ScriptedServer::Request& request) {
+        return emulator::ScriptedServer::Reply{SoundHead(request) + lines};
+      });
+  CHECK(upstreams.HeapGrowth("/once/large", kRequests, kRequests) <
+        kMaxTotalBufferedBytes);
+}
+
 // Guards against a prompt of the product's own interface that an engine keeps
 // alive with bytes that are no event.
 TEST(Endless, PromptsEnd) {
--- a/packages/net/src/stream/message_parser.cc
+++ b/packages/net/src/stream/message_parser.cc
@@ -5,6 +5,10 @@
 namespace jasminehatch::net {
 namespace {
 
+/// Header lines of a message. A line of a few bytes takes many times as much
+/// memory as on the wire.
+constexpr std::size_t kMaxHeaders = 256;
+
 MessageParser& Self(http_parser* parser) {
   return *static_cast<MessageParser*>(parser->data);
 }
@@ -45,6 +49,9 @@
       return 0;  // Trailers are not passed on.
     }
     if (self.m_in_value || self.m_headers.empty()) {
+      if (self.m_headers.size() == kMaxHeaders) {
+        return 1;  // Ends the message with an error.
+      }
       self.m_headers.emplace_back();
       self.m_in_value = false;
     }
--- a/packages/net/src/stream/message_parser.h
+++ b/packages/net/src/stream/message_parser.h
@@ -28,7 +28,8 @@
   /// Prepares for the next message.
   void Reset();
 
-  /// @brief Parses bytes up to the end of the message.
+  /// @brief Parses bytes up to the end of the message. A message with more than
+  /// 256 header lines is invalid.
   Progress Feed(std::string_view data);
 
   /// Tells the parser that the connection ended.
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -44,6 +44,9 @@
 /// Informational responses (status 1xx) that are skipped before a response.
 constexpr std::size_t kMaxInformationalResponses = 16;
 
+/// Size of the head of a response, in bytes.
+constexpr std::size_t kMaxHeadBytes = 16UL << 10U;
+
 /// A connection that breaks at its next call after at least this idle time was
 /// probably dropped by the upstream without notice.
 constexpr std::chrono::milliseconds kMinDroppedIdleTime{150};
@@ -343,6 +346,12 @@
       Finish(id, StreamEnd::Kind::kMalformed, progress.error);
       return;
     }
+    if (!call->head_received &&
+        connection->parser.HeadBytes() > kMaxHeadBytes) {
+      Finish(id, StreamEnd::Kind::kMalformed,
+             "the head of the response is too large");
+      return;
+    }
     data.remove_prefix(progress.consumed);
     if (connection->parser.IsHeadComplete() && !had_head &&
         connection->parser.Status() / 100 == 1 &&
