--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -226,12 +226,13 @@
 }
 
 std::string ServerConnection::FormatHead(int status,
-                                         const HttpHeaders& headers) const {
+                                         const HttpHeaders& headers) {
   std::string head = FormatStatusLine(status);
   for (const HttpHeader& header : headers) {
     AppendHeader(head, header);
   }
-  if (ClosesAfterResponse()) {
+  m_close_announced = ClosesAfterResponse();
+  if (m_close_announced) {
     head += "Connection: close\r\n";
   }
   return head;
@@ -299,7 +300,7 @@
 void ServerConnection::FinishResponse() {
   m_on_closed = nullptr;
   m_timed_since = std::chrono::steady_clock::now();
-  const bool close = ClosesAfterResponse();
+  const bool close = m_close_announced || ClosesAfterResponse();
   m_phase = close ? Phase::kClosing : Phase::kReading;
   Flush();
   if (!close && !m_input.empty()) {
@@ -413,7 +414,8 @@
 }
 
 bool ServerConnection::ClosesAfterResponse() const {
-  return !m_keep_alive || m_close_when_idle || m_shared->close_after_responses;
+  const bool stopping = m_close_when_idle || m_shared->close_after_responses;
+  return !m_keep_alive || (stopping && m_input.empty());
 }
 
 void ServerConnection::CloseWhenIdle() {
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -83,6 +83,8 @@
   /// @return whether no byte of a request was received and no response is
   /// being written
   bool IsIdle() const;
+  /// @return whether the connection is closed after the response in progress. A
+  /// stopping server first answers the requests that were received with it.
   bool ClosesAfterResponse() const;
   void Read();
   void OnRead(const asio::error_code& error, std::size_t length);
@@ -90,7 +92,8 @@
   void OnHead();
   void DispatchRequest();
   void Reject(int status);
-  std::string FormatHead(int status, const HttpHeaders& headers) const;
+  /// Decides whether the connection is closed after the response.
+  std::string FormatHead(int status, const HttpHeaders& headers);
   void Flush();
   void FinishResponse();
   /// Frees the memory of what was sent.
@@ -118,6 +121,7 @@
   bool m_write_pending = false;
   bool m_keep_alive = true;
   bool m_is_head_request = false;
+  bool m_close_announced = false;  ///< In the head of the response.
   bool m_first_byte_seen = false;
   bool m_close_when_idle = false;
 };
--- a/packages/net/tests/stream_server_stop_test.cc
+++ b/packages/net/tests/stream_server_stop_test.cc
@@ -97,6 +97,16 @@
   /// @return whether the response to the last request arrived
   bool IsAnswered() const { return m_received.ends_with("done"); }
   const std::string& Received() const { return m_received; }
+  /// @return the number of responses that began
+  std::size_t Responses() const {
+    constexpr std::string_view kStart = "HTTP/1.1 200";
+    std::size_t count = 0;
+    for (std::size_t at = m_received.find(kStart); at != std::string::npos;
+         at = m_received.find(kStart, at + kStart.size())) {
+      ++count;
+    }
+    return count;
+  }
   bool IsClosed() const { return m_closed; }
   void ForgetReceived() { m_received.clear(); }
 
@@ -161,6 +171,28 @@
   UNSIGNED_LONGS_EQUAL(2, fixture.Handled());
 }
 
+// Guards against pipelined requests that the server has read and that get no
+// response, since the one before them closes the connection.
+TEST(StreamServerStop, PipelinedRequestsThatWereReadAreAnswered) {
+  constexpr std::size_t kRequests = 3;
+  StopFixture fixture;
+  Caller caller(fixture);
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    caller.Send(kRequest);
+  }
+  fixture.AcceptOne();
+  fixture.Server().CloseAfterResponses();
+  fixture.Server().StopAccepting();
+  caller.StartReading();
+  CHECK(fixture.RunUntil([&] { return caller.IsClosed(); }));
+  UNSIGNED_LONGS_EQUAL(kRequests, fixture.Handled());
+  UNSIGNED_LONGS_EQUAL(kRequests, caller.Responses());
+  // Only the last response says that the connection ends.
+  const std::size_t close = caller.Received().find("Connection: close");
+  CHECK(close != std::string::npos);
+  CHECK(caller.Received().find("HTTP/1.1 200", close) == std::string::npos);
+}
+
 // Guards against a process that ends while a request is being read: at each
 // byte.
 TEST(StreamServerStop, APartOfARequestKeepsTheConnectionBusy) {
