Do not use a removed upstream again after a later outage of the registry (DRAIN)

Cause: removed upstreams stay in use for two seconds after an outage, since their entries may only have lapsed. The end of that time was the directory's, so that a later outage moved it for upstreams that had been removed long before.

Change: the end of its use is stored with the upstream when its removal is read.

ForwardingStep.RemovedUpstreamsDoNotReturnAfterAnotherOutage fails before: expected <1> but was <0>

--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -39,8 +39,8 @@
 struct Upstream {
   UpstreamEntry entry;
   UpstreamNotice notice;
-  std::optional<MonotonicTime>
-      removed_at;  ///< Time of removal from the registry.
+  /// End of its use after it was removed from the registry, if it was.
+  std::optional<MonotonicTime> removed_until;
   /// It is loading weights, until then or until it reports newer ones.
   std::optional<MonotonicTime> loading_until;
 
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -36,7 +36,7 @@
       const auto weights = known->entry.weights;
       known->entry = entry;
       known->entry.weights = weights;
-      known->removed_at.reset();
+      known->removed_until.reset();
       for (const auto& [model, version] : entry.weights) {
         OnWeightsObserved({entry.id, model, version});
       }
@@ -71,7 +71,10 @@
     return;
   }
   if (m_removals_deferred_until && now < *m_removals_deferred_until) {
-    upstream->removed_at = now;
+    // A later outage says nothing about an upstream that was removed before it.
+    if (!upstream->removed_until) {
+      upstream->removed_until = m_removals_deferred_until;
+    }
     return;
   }
   Erase(id);
@@ -219,8 +222,7 @@
   if (upstream.entry.draining || upstream.notice.leaving) {
     return false;
   }
-  return !upstream.removed_at ||
-         (m_removals_deferred_until && now < *m_removals_deferred_until);
+  return !upstream.removed_until || now < *upstream.removed_until;
 }
 
 std::optional<UpstreamDirectory::PublishedWeights>
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -267,6 +267,21 @@
   CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/once/"))));
 }
 
+// Guards against requests to an upstream that left long ago, because the
+// registry had another outage since (DRAIN).
+TEST(ForwardingStep, RemovedUpstreamsDoNotReturnAfterAnotherOutage) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("u1", "desk");
+  fixture.Apply(RegistryRecovered{});
+  fixture.Apply(UpstreamRemoved{"u1"});
+  OnlyStart(fixture.Send("/once/"));
+  fixture.Wait(fixture.CurrentState().options.removal_grace_period);
+  fixture.Apply(RegistryRecovered{});
+  CHECK(Is(RefusalCode::kNoUpstream, OnlyRefusal(fixture.Send("/once/"))));
+  fixture.AddUpstream("u1", "desk");
+  OnlyStart(fixture.Send("/once/"));
+}
+
 // Guards against sharing cached parts between weight versions or with a
 // workspace that has a private cache.
 TEST(ForwardingStep, SaltsByWeightVersionAndPrivateCache) {
