Move what the forwarder derives from its settings into a file of its own

The options of the decision library and of the followers, with their constants, are in forwarder_options. The pause of the registry stands once. No behaviour changes.

--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "forwarder_options.h"
 #include "jasminehatch/codec.h"
 #include "jasminehatch/detail/base/clock.h"
 #include "jasminehatch/detail/base/exception.h"
@@ -33,19 +34,14 @@
 using telemetry::DecisionLog;
 using telemetry::DecisionLogField;
 
-/// Longest wait of a configuration read. The platform's store responds at once
-/// when a record is written.
-constexpr milliseconds kConfigurationLongPollTime{8000};
-
 /// A freshness proof is renewed at a random age: this fraction of
 /// `Options::max_proof_age`, plus up to the jitter fraction. By then another
 /// daemon has usually renewed its own proof and shared it.
 constexpr double kProofRenewFraction = 0.21;
 constexpr double kProofJitterFraction = 0.14;
 
-/// Above this number of daemons, a shared proof takes longer to reach all of
-/// them, so the larger jitter below is used.
-constexpr std::size_t kLargeFleetSize = 12;
+/// The jitter in a large fleet, where a shared proof takes longer to reach all
+/// daemons.
 constexpr double kLargeFleetProofJitterFraction = 0.28;
 constexpr milliseconds kProofCheckInterval{100};
 constexpr milliseconds kProofRetryDelay{300};
@@ -54,25 +50,10 @@
 /// retries as well.
 constexpr milliseconds kProofRetryDelayInOutage{1500};
 
-/// Pause between reads of the registry, as a fraction of `drain_limit`, the
-/// maximum time for which a leaving upstream still gets new requests. Each
-/// upstream writes to the registry about once a second, so a read for each
-/// record would cost too many calls.
-constexpr double kRegistryPauseFraction = 0.35;
-/// The pause in a large fleet, where the calls of all daemons add up.
-constexpr double kLargeFleetRegistryPauseFraction = 0.55;
-
-/// In a zone that relays the registry, the pause of its reader, and the age of
-/// what a follower knows from which it reads by itself.
-constexpr double kReaderRegistryPauseFraction = 0.3;
-constexpr double kMaxRelayedRegistryAgeFraction = 0.55;
-
-/// In a zone that relays the configuration, the ages at which its reader and a
-/// follower renew their freshness proofs, as fractions of
-/// `Options::max_proof_age`. The reader's proofs reach the followers before
-/// they would renew their own.
+/// Age at which the reader of a zone that relays the configuration renews its
+/// freshness proof, as a fraction of `Options::max_proof_age`. Its proofs reach
+/// the followers before they would renew their own.
 constexpr double kReaderProofRenewFraction = 0.2;
-constexpr double kFollowerProofRenewFraction = 0.4;
 
 /// Names of the feeds that are relayed; those of cache stores are followed by
 /// the store's address.
@@ -80,31 +61,6 @@
 constexpr char kRegistryFeed[] = "registry";
 constexpr std::string_view kCacheStoreFeedPrefix = "cache_store/";
 
-/// After an outage of the registry of at least this length, a missing entry may
-/// only mean that its upstream could not renew it.
-constexpr milliseconds kRegistryOutageThreshold{800};
-
-/// Maximum age of a freshness proof as a fraction of `revoke_limit`, the
-/// maximum time for which a revoked API key is still accepted. The limit
-/// applies to the time at which a caller sends a request, which is before its
-/// admission, so the rest only has to cover clock errors.
-constexpr double kProofLimitFraction = 0.85;
-
-/// Time before `version_limit` from which only upstreams with the published
-/// weight version are used. From `version_limit` after the publication, no
-/// request may begin on older weights, and it begins with its first token: it
-/// waits in the queue of the upstream before, or the upstream is silent.
-constexpr milliseconds kMaxBeginDelay{2000};
-
-/// Smallest share of `version_limit` for which older weights are used, for
-/// settings in which `kMaxBeginDelay` would take most of it.
-constexpr double kMinVersionLimitFraction = 0.5;
-
-/// Fraction of `contact_limit` for which a weight version that was found at the
-/// start, and that no upstream has, is not required. The rest covers the first
-/// read of the records and a retry of it.
-constexpr double kContactLimitFraction = 0.75;
-
 /// Time without progress after which followers join a rollout, as a fraction of
 /// `version_limit`. They join within as much time again.
 constexpr double kStandbyPatienceFraction = 0.35;
@@ -133,59 +89,6 @@
   return *parsed;
 }
 
-forwarding::Options MakeOptions(const codec::ForwarderSettings& settings) {
-  forwarding::Options options;
-  options.zone = settings.zone;
-  const auto scale = [](milliseconds time, double factor) {
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(time) * factor);
-  };
-  options.max_proof_age = scale(settings.revoke_limit, kProofLimitFraction);
-  options.version_hard_limit = std::max<Duration>(
-      settings.version_limit - kMaxBeginDelay,
-      scale(settings.version_limit, kMinVersionLimitFraction));
-  options.found_version_limit =
-      scale(settings.contact_limit, kContactLimitFraction);
-  options.retry_ratio = settings.retry_ratio;
-  options.retry_slack = settings.retry_slack;
-  options.retry_window = settings.retry_window;
-  options.prompt_placement = settings.prompt_placement;
-  options.use_cache_stores = settings.use_cache_stores;
-  options.limit_admission = settings.limit_admission;
-  return options;
-}
-
-TopicFollower::Options ConfigurationTopicOptions(
-    const codec::ForwarderSettings& settings) {
-  TopicFollower::Options options;
-  options.topic = platform::kOperatorTopic;
-  options.max_wait = kConfigurationLongPollTime;
-  options.max_relayed_age = std::chrono::duration_cast<milliseconds>(
-      settings.revoke_limit * kProofLimitFraction *
-      kFollowerProofRenewFraction);
-  options.notable_outage = kRegistryOutageThreshold;
-  options.is_renewal = [](std::string_view before, std::string_view after) {
-    return before == after;
-  };
-  return options;
-}
-
-TopicFollower::Options RegistryTopicOptions(
-    const codec::ForwarderSettings& settings) {
-  const auto share = [&](double fraction) {
-    return std::chrono::duration_cast<milliseconds>(settings.drain_limit *
-                                                    fraction);
-  };
-  TopicFollower::Options options;
-  options.topic = platform::kUpstreamTopic;
-  options.pause = share(kRegistryPauseFraction);
-  options.reader_pause = share(kReaderRegistryPauseFraction);
-  options.max_relayed_age = share(kMaxRelayedRegistryAgeFraction);
-  options.notable_outage = kRegistryOutageThreshold;
-  options.is_renewal = &platform::IsUpstreamRenewal;
-  return options;
-}
-
 }  // namespace
 
 class Forwarder::Impl {
@@ -207,7 +110,7 @@
                m_stream_client,
                m_log,
                m_metrics,
-               MakeOptions(settings)),
+               MakeForwardingOptions(settings)),
         m_engines(m_http_client),
         m_rollout(loop,
                   clock,
@@ -222,12 +125,12 @@
         m_configuration(loop,
                         m_store,
                         clock,
-                        ConfigurationTopicOptions(settings),
+                        MakeConfigurationTopicOptions(settings),
                         ConfigurationCallbacks()),
         m_registry(loop,
                    m_store,
                    clock,
-                   RegistryTopicOptions(settings),
+                   MakeRegistryTopicOptions(settings),
                    RegistryCallbacks()),
         m_stop_timer(loop),
         m_log_timer(loop),
@@ -292,7 +195,7 @@
         DecisionLogField{"needs_restart", needs_restart ? "yes" : "no"}};
     m_log.Write(DecisionLog::Level::kState, "settings_read_again", fields);
     m_settings.stop_grace = settings.stop_grace;
-    m_host.Apply(forwarding::OptionsChanged{MakeOptions(settings)});
+    m_host.Apply(forwarding::OptionsChanged{MakeForwardingOptions(settings)});
   }
 
  private:
@@ -572,10 +475,7 @@
   });
   const std::size_t daemons = 1 + (m_gossip ? m_gossip->LivePeerCount() : 0);
   const std::size_t rank = FreeingRank();
-  m_registry.SetPause(std::chrono::duration_cast<milliseconds>(
-      m_settings.drain_limit * (daemons > kLargeFleetSize
-                                    ? kLargeFleetRegistryPauseFraction
-                                    : kRegistryPauseFraction)));
+  m_registry.SetPause(RegistryPause(m_settings, daemons));
   for (const auto& [address, store] : stores) {
     const auto [follower, added] = m_cache_stores.try_emplace(
         address, m_loop, m_clock, m_engines, m_host, m_log, address);
