--- a/packages/core/include/jasminehatch/core.h
+++ b/packages/core/include/jasminehatch/core.h
@@ -82,5 +82,9 @@
 #include "jasminehatch/detail/serving/event.h"
 #include "jasminehatch/detail/serving/state.h"
 #include "jasminehatch/detail/serving/step.h"
+#include "jasminehatch/detail/shedding/caller_refusal.h"
+#include "jasminehatch/detail/shedding/memory_ledger.h"
+#include "jasminehatch/detail/shedding/options.h"
+#include "jasminehatch/detail/shedding/refusal_summary.h"
 
 #endif  // JASMINEHATCH_CORE_H_
--- a/packages/core/include/jasminehatch/detail/shedding/options.h
+++ b/packages/core/include/jasminehatch/detail/shedding/options.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <limits>
 
 #include "jasminehatch/detail/base/time.h"
@@ -38,12 +37,24 @@
 /// server (about 1.5 kB), the kernel's socket and the allocator's overhead.
 inline constexpr std::size_t kConnectionBytes = 4096;
 
+/// Share of the file descriptors for the connections of callers. A request also
+/// needs a connection to its upstream.
+inline constexpr std::size_t kConnectionShareDivisor = 2;
+
 /// @brief Limits of a `MemoryLedger`.
 struct Options {
   /// Memory that all callers can take together, in bytes.
   std::size_t limit_bytes = std::numeric_limits<std::size_t>::max();
   std::size_t connection_limit = std::numeric_limits<std::size_t>::max();
 
+  /// @param memory_bytes memory of the VM
+  /// @param descriptors that the process can have open
+  static constexpr Options For(std::size_t memory_bytes,
+                               std::size_t descriptors) {
+    return {memory_bytes / kMemoryShareDivisor,
+            descriptors / kConnectionShareDivisor};
+  }
+
   /// @return the part of the limit that large bodies can take
   std::size_t LargeLimit() const {
     return limit_bytes - limit_bytes / kReserveDivisor;
