Limit the memory of callers in the stream server

Bodies are admitted by their announced length, chunked ones as their buffers grow. Bodies beyond the limit are rejected at once and freed; the linger has a limit on bytes. Bodies and unread responses need progress within the idle time. Connections share one read buffer.

--- a/packages/net/include/jasminehatch/detail/stream/stream_client.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_client.h
@@ -24,8 +24,12 @@
   std::string target;   ///< Path and query, percent-encoded; sent unchanged.
   HttpHeaders headers;  ///< Without those that frame the body.
   std::string body;
+  /// Sent instead of `body` if set, without a copy.
+  std::shared_ptr<const std::string> shared_body;
   std::chrono::milliseconds total_timeout{0};  ///< From the start; 0 for none.
   bool fresh_connection = false;               ///< Use no idle connection.
+
+  const std::string& Body() const { return shared_body ? *shared_body : body; }
 };
 
 /// @brief The head of a response.
--- a/packages/net/include/jasminehatch/detail/stream/stream_server.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_server.h
@@ -8,6 +8,12 @@
 #include <memory>
 #include <string>
 
+#include "jasminehatch/detail/shedding/caller_refusal.h"
+
+namespace jasminehatch::shedding {
+struct Options;
+}
+
 namespace asio {
 class io_context;
 }
@@ -22,8 +28,8 @@
   std::size_t body_bytes = 4UL << 20U;
   /// From the first byte of a request to the end of its head.
   std::chrono::milliseconds header_timeout{10'000};
-  /// Longest time without a request, and from the first byte of a request to
-  /// its last.
+  /// Longest time without a request, and without progress of a body or of a
+  /// response that is being read.
   std::chrono::milliseconds idle_timeout{60'000};
 };
 
@@ -51,6 +57,20 @@
   /// Sets the limits; connections apply them from their next request on.
   void SetLimits(const CallerLimits& limits);
 
+  /// Limits the memory that all callers take together, and the number of their
+  /// connections. Without a call there is no limit.
+  void SetMemoryLimits(const shedding::Options& options);
+
+  /// Sets the function that is called for each request that is refused before
+  /// it reaches the handler, and for each connection that is closed because of
+  /// a limit.
+  void SetRefusalCallback(
+      std::function<void(shedding::CallerRefusal)> callback);
+
+  /// @return the memory that callers take, in bytes: connections, requests
+  /// until they are destroyed, and responses that are not sent yet
+  std::size_t MemoryBytes() const;
+
   /// Makes each response from now on close its connection.
   void CloseAfterResponses();
 
--- a/packages/net/include/jasminehatch/net.h
+++ b/packages/net/include/jasminehatch/net.h
@@ -11,6 +11,7 @@
 #include "jasminehatch/detail/http/ip_port.h"
 #include "jasminehatch/detail/http/response_writer.h"
 #include "jasminehatch/detail/process/signal_receiver.h"
+#include "jasminehatch/detail/process/system_memory.h"
 #include "jasminehatch/detail/rpc/json_rpc_server.h"
 #include "jasminehatch/detail/stream/server_exchange.h"
 #include "jasminehatch/detail/stream/stream_client.h"
--- a/packages/net/src/stream/message_parser.cc
+++ b/packages/net/src/stream/message_parser.cc
@@ -9,6 +9,9 @@
 /// memory as on the wire.
 constexpr std::size_t kMaxHeaders = 256;
 
+/// Memory of a target that is kept for the next message, in bytes.
+constexpr std::size_t kMaxSpareTargetBytes = 1024;
+
 MessageParser& Self(http_parser* parser) {
   return *static_cast<MessageParser*>(parser->data);
 }
@@ -23,7 +26,11 @@
   http_parser_init(&m_parser, m_type);
   m_parser.data = this;
   m_target.clear();
-  m_headers.clear();
+  if (m_target.capacity() > kMaxSpareTargetBytes) {
+    m_target.shrink_to_fit();
+  }
+  HttpHeaders().swap(m_headers);
+  m_announced_length = 0;
   m_head_bytes = 0;
   m_in_value = false;
   m_head_complete = false;
@@ -74,6 +81,7 @@
     self.m_head_complete = true;
     self.m_keep_alive = http_should_keep_alive(p) != 0;
     self.m_chunked = (p->flags & F_CHUNKED) != 0;
+    self.m_announced_length = p->content_length;
     if (self.on_head) {
       self.on_head();
     }
@@ -85,6 +93,12 @@
     }
     return 0;
   };
+  settings.on_chunk_header = [](http_parser* p) {
+    if (Self(p).on_chunk) {
+      Self(p).on_chunk(p->content_length);
+    }
+    return 0;
+  };
   settings.on_message_complete = [](http_parser* p) {
     Self(p).m_message_complete = true;
     // Bytes after the message belong to the next one, or to none.
--- a/packages/net/src/stream/message_parser.h
+++ b/packages/net/src/stream/message_parser.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -50,6 +51,17 @@
   std::string& Target() { return m_target; }
   HttpHeaders& Headers() { return m_headers; }
   std::size_t HeadBytes() const { return m_head_bytes; }
+  /// @return the length of the body that the head announces, in bytes; 0 if it
+  /// announces none
+  std::uint64_t AnnouncedLength() const {
+    return (m_parser.flags & F_CONTENTLENGTH) != 0 ? m_announced_length : 0;
+  }
+  /// @return an estimate of the memory of the head, in bytes. The buffers of
+  /// its texts take up to twice their size.
+  std::size_t MemoryBytes() const {
+    return m_target.capacity() + 2 * m_head_bytes +
+           m_headers.capacity() * sizeof(HttpHeader);
+  }
 
   /// Expects no body, as in the response to a HEAD request, whose head
   /// describes a body that does not follow.
@@ -57,6 +69,8 @@
 
   std::function<void()> on_head;
   std::function<void(std::string_view)> on_body;
+  /// Called with the size that a chunk announces, before its bytes.
+  std::function<void(std::uint64_t)> on_chunk;
 
  private:
   static http_parser_settings Settings();
@@ -68,6 +82,7 @@
   /// Bytes of the target and of the names and values of headers and trailers,
   /// without separators.
   std::size_t m_head_bytes = 0;
+  std::uint64_t m_announced_length = 0;
   bool m_in_value = false;
   bool m_head_complete = false;
   bool m_message_complete = false;
--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
-#include <cctype>
 #include <utility>
 
+#include "connection_exchange.h"
 #include "message_text.h"
+#include "shared_server_state.h"
 
 namespace jasminehatch::net {
 namespace {
@@ -25,81 +27,48 @@
 /// send a request at once.
 constexpr std::chrono::milliseconds kReadingTime{1000};
 
-/// @brief The exchange that is passed to a handler.
-class Exchange : public ServerExchange {
- public:
-  Exchange(std::weak_ptr<ServerConnection> connection,
-           std::size_t sequence,
-           HttpRequest request)
-      : m_connection(std::move(connection)),
-        m_sequence(sequence),
-        m_request(std::move(request)) {}
-
-  const HttpRequest& Request() const override { return m_request; }
-  void Send(int status,
-            const HttpHeaders& headers,
-            std::string_view body) override {
-    if (const auto connection = m_connection.lock()) {
-      connection->Send(m_sequence, status, headers, body);
-    }
-  }
-  void BeginStream(int status, const HttpHeaders& headers) override {
-    if (const auto connection = m_connection.lock()) {
-      connection->BeginStream(m_sequence, status, headers);
-    }
-  }
-  void Write(std::string_view data) override {
-    if (const auto connection = m_connection.lock()) {
-      connection->Write(m_sequence, data);
-    }
-  }
-  void End() override {
-    if (const auto connection = m_connection.lock()) {
-      connection->End(m_sequence);
-    }
-  }
-  void Abort() override {
-    if (const auto connection = m_connection.lock()) {
-      connection->Abort(m_sequence);
-    }
-  }
-  std::size_t UnsentBytes() const override {
-    const auto connection = m_connection.lock();
-    return connection ? connection->UnsentBytes() : 0;
-  }
-  void SetClosedCallback(std::function<void()> callback) override {
-    if (const auto connection = m_connection.lock()) {
-      connection->SetClosedCallback(m_sequence, std::move(callback));
-    }
-  }
+/// Input that is discarded after the last request so that the caller receives
+/// its response, in bytes. It covers what a caller has under way on a fast link
+/// when it is refused.
+constexpr std::size_t kMaxLingerBytes = 256UL << 10U;
+
+/// First size of the buffer of a body whose length is not announced.
+constexpr std::size_t kFirstBodyBytes = 16UL << 10U;
 
- private:
-  std::weak_ptr<ServerConnection> m_connection;
-  std::size_t m_sequence;
-  HttpRequest m_request;
-};
+/// Bytes that are handed to the kernel at once.
+constexpr std::size_t kMaxWriteBytes = 64UL << 10U;
+
+/// Unread bytes of a response from which on the connection counts as waiting
+/// for its caller.
+constexpr std::size_t kUnreadBytes = 16UL << 10U;
 
 }  // namespace
 
-ServerConnection::ServerConnection(
-    asio::ip::tcp::socket socket,
-    std::shared_ptr<const SharedServerState> shared)
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
+                                   std::shared_ptr<SharedServerState> shared,
+                                   shedding::ConnectionId id)
     : m_socket(std::move(socket)),
       m_shared(std::move(shared)),
+      m_id(id),
       m_timed_since(std::chrono::steady_clock::now()) {
   m_parser.on_head = [this] { OnHead(); };
-  m_parser.on_body = [this](std::string_view data) {
-    if (m_body.size() + data.size() > m_shared->limits.body_bytes) {
-      m_reject_status = m_reject_status == 0 ? 413 : m_reject_status;
-      return;
+  m_parser.on_body = [this](std::string_view data) { OnBody(data); };
+  m_parser.on_chunk = [this](std::uint64_t size) {
+    if (size > m_shared->limits.body_bytes) {
+      m_refusal = m_refusal.value_or(Refusal::kBodyTooLarge);
     }
-    m_body.append(data);
   };
 }
 
+ServerConnection::~ServerConnection() {
+  m_shared->connections.erase(m_id);
+  m_shared->memory.Close(m_id);
+}
+
 void ServerConnection::Start() {
   asio::error_code ignored;
   m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  m_socket.non_blocking(true, ignored);
   Read();
 }
 
@@ -109,18 +78,17 @@
     return;
   }
   m_read_pending = true;
-  m_socket.async_read_some(
-      asio::buffer(m_buffer),
-      [self = shared_from_this()](const asio::error_code& error,
-                                  std::size_t length) {
+  // No buffer is held while nothing arrives.
+  m_socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const asio::error_code& error) {
         self->m_read_pending = false;
-        self->OnRead(error, length);
+        self->OnReadable(error);
       });
 }
 
-void ServerConnection::OnRead(const asio::error_code& error,
-                              std::size_t length) {
-  // The read may have ended before the connection was closed. A request from a
+void ServerConnection::OnReadable(const asio::error_code& error) {
+  // The wait may have ended before the connection was closed. A request from a
   // closed connection would run and get no response.
   if (!m_socket.is_open()) {
     return;
@@ -135,39 +103,60 @@
     CloseNow();
     return;
   }
-  if (m_phase != Phase::kClosing) {
-    m_input.append(m_buffer.data(), length);
+  asio::error_code read_error;
+  const std::size_t length =
+      m_socket.read_some(asio::buffer(m_shared->buffer), read_error);
+  if (read_error && read_error != asio::error::would_block) {
+    CloseNow();
+    return;
   }
-  if (m_phase == Phase::kReading) {
-    ParseInput();
+  if (!read_error) {
+    Receive({m_shared->buffer.data(), length});
   }
   Read();
 }
 
+void ServerConnection::Receive(std::string_view data) {
+  if (m_phase == Phase::kClosing) {
+    m_discarded += data.size();
+    if (m_discarded > kMaxLingerBytes) {
+      CloseNow();
+    }
+    return;
+  }
+  if (m_phase == Phase::kReading && m_input.empty()) {
+    Parse(data);
+  } else {
+    m_input.append(data);
+  }
+  ParseInput();
+  UpdateMemory();
+}
+
 void ServerConnection::ParseInput() {
   while (m_phase == Phase::kReading && m_socket.is_open() && !m_input.empty()) {
-    if (!std::exchange(m_first_byte_seen, true)) {
-      m_timed_since = std::chrono::steady_clock::now();
-    }
-    const auto progress = m_parser.Feed(m_input);
-    if (!progress.error.empty()) {
-      m_input.clear();
-      Reject(400);
-      return;
-    }
-    m_input.erase(0, progress.consumed);
-    if (!m_parser.IsHeadComplete() &&
-        m_parser.HeadBytes() > m_shared->limits.header_bytes) {
-      m_reject_status = 431;
-    }
-    if (m_reject_status != 0) {
-      m_input.clear();
-      Reject(m_reject_status);
-      return;
-    }
-    if (!m_parser.IsMessageComplete()) {
-      return;
-    }
+    Parse(std::exchange(m_input, {}));
+  }
+}
+
+void ServerConnection::Parse(std::string_view data) {
+  if (!std::exchange(m_first_byte_seen, true)) {
+    m_timed_since = std::chrono::steady_clock::now();
+  }
+  const auto progress = m_parser.Feed(data);
+  if (!m_parser.IsHeadComplete() &&
+      m_parser.HeadBytes() > m_shared->limits.header_bytes) {
+    m_refusal = Refusal::kHeadTooLarge;
+  }
+  if (!progress.error.empty()) {
+    m_refusal = Refusal::kMalformed;
+  }
+  if (m_refusal) {
+    Reject(*m_refusal);
+    return;
+  }
+  if (m_parser.IsMessageComplete()) {
+    m_input = data.substr(progress.consumed);
     DispatchRequest();
   }
 }
@@ -175,26 +164,64 @@
 void ServerConnection::OnHead() {
   const HttpHeaders& headers = m_parser.Headers();
   if (m_parser.HeadBytes() > m_shared->limits.header_bytes) {
-    m_reject_status = 431;
+    m_refusal = Refusal::kHeadTooLarge;
     return;
   }
   if (!m_parser.IsHttp11()) {
-    m_reject_status = 505;
+    m_refusal = Refusal::kUnsupportedVersion;
     return;
   }
   // http_parser accepts spaces in names and some control characters in values,
   // which another parser may read as further headers.
   if (!std::all_of(headers.begin(), headers.end(), IsValidHeader) ||
       CountHeader(headers, "Host") != 1 || !IsValidTarget(m_parser.Target())) {
-    m_reject_status = 400;
+    m_refusal = Refusal::kMalformed;
+    return;
+  }
+  if (m_parser.AnnouncedLength() > m_shared->limits.body_bytes) {
+    m_refusal = Refusal::kBodyTooLarge;
     return;
   }
-  if (!FindHeader(headers, "Expect").empty()) {
+  GrowBody(m_parser.AnnouncedLength());
+  if (!m_refusal && !FindHeader(headers, "Expect").empty()) {
     m_output += "HTTP/1.1 100 Continue\r\n\r\n";
     Flush();
   }
 }
 
+void ServerConnection::OnBody(std::string_view data) {
+  if (m_refusal) {
+    return;
+  }
+  const std::size_t size = m_body.size() + data.size();
+  if (size > m_shared->limits.body_bytes) {
+    m_refusal = Refusal::kBodyTooLarge;
+    return;
+  }
+  if (size > m_body.capacity()) {
+    GrowBody(std::min(std::max({size, 2 * m_body.capacity(), kFirstBodyBytes}),
+                      m_shared->limits.body_bytes));
+    if (m_refusal) {
+      return;
+    }
+  }
+  m_body.append(data);
+  m_shared->memory.AddProgress(m_id, data.size(),
+                               std::chrono::steady_clock::now());
+}
+
+void ServerConnection::GrowBody(std::size_t bytes) {
+  if (bytes <= m_body.capacity()) {
+    return;
+  }
+  if (!AskForMemory(bytes)) {
+    m_refusal = Refusal::kNoMemory;
+    return;
+  }
+  // The kernel provides the pages of a large buffer as they are written.
+  m_body.reserve(bytes);
+}
+
 void ServerConnection::DispatchRequest() {
   HttpRequest request;
   request.method = std::string(m_parser.Method());
@@ -204,6 +231,7 @@
   if (question != std::string::npos) {
     request.query = target.substr(question + 1);
   }
+  const std::size_t memory_bytes = m_parser.MemoryBytes() + m_body.capacity();
   request.headers = std::move(m_parser.Headers());
   request.body = std::exchange(m_body, {});
   m_keep_alive = m_parser.ShouldKeepAlive();
@@ -213,16 +241,96 @@
   m_first_byte_seen = false;
   m_parser.Reset();
   ++m_sequence;
-  m_shared->handler(std::make_shared<Exchange>(weak_from_this(), m_sequence,
-                                               std::move(request)));
+  // The memory of the request now belongs to the exchange.
+  UpdateMemory();
+  auto exchange = std::make_shared<ConnectionExchange>(
+      weak_from_this(), m_sequence, std::move(request), m_shared, memory_bytes);
+  if (m_socket.is_open()) {
+    m_shared->handler(std::move(exchange));
+  }
 }
 
-void ServerConnection::Reject(int status) {
+void ServerConnection::Reject(Refusal reason) {
   m_phase = Phase::kResponding;
   m_keep_alive = false;
-  m_reject_status = 0;
-  Send(++m_sequence, status, {{"Content-Type", "text/plain"}},
-       "the request is not acceptable\n");
+  m_refusal.reset();
+  std::string().swap(m_body);
+  std::string().swap(m_input);
+  m_parser.Reset();
+  m_shared->Report(reason);
+  HttpHeaders headers{{"Content-Type", "text/plain"}};
+  const int status = HttpStatus(reason);
+  if (status == 503) {
+    headers.push_back({"Retry-After", "1"});
+  }
+  Send(
+      ++m_sequence, status, headers,
+      "the request is not acceptable: " + std::string(ToString(reason)) + "\n");
+}
+
+shedding::Activity ServerConnection::CurrentActivity() const {
+  using shedding::Activity;
+  if (m_output.size() + m_writing.size() >= kUnreadBytes) {
+    return Activity::kUnread;
+  }
+  switch (m_phase) {
+    case Phase::kResponding:
+      return Activity::kRunning;
+    case Phase::kClosing:
+      return Activity::kEnding;
+    case Phase::kReading:
+      break;
+  }
+  return m_first_byte_seen || !m_input.empty() ? Activity::kReading
+                                               : Activity::kIdle;
+}
+
+bool ServerConnection::AskForMemory(std::size_t body_capacity) {
+  const std::size_t bytes = m_parser.MemoryBytes() + body_capacity +
+                            m_input.capacity() + m_output.capacity() +
+                            m_writing.capacity();
+  const auto decision = m_shared->memory.Update(
+      m_id, CurrentActivity(), bytes, std::chrono::steady_clock::now());
+  m_shared->Drop(decision.dropped);
+  return decision.granted;
+}
+
+void ServerConnection::UpdateMemory() {
+  if (!m_socket.is_open() || AskForMemory(m_body.capacity())) {
+    return;
+  }
+  if (m_phase == Phase::kReading) {
+    Reject(Refusal::kNoMemory);
+  } else {
+    Drop(m_output.size() + m_writing.size() >= kUnreadBytes
+             ? Refusal::kResponseMemory
+             : Refusal::kNoMemory);
+  }
+}
+
+void ServerConnection::Shed() {
+  if (!m_socket.is_open()) {
+    return;
+  }
+  if (m_phase == Phase::kReading && m_first_byte_seen) {
+    Reject(Refusal::kShed);
+  } else {
+    Drop(Refusal::kShed);
+  }
+}
+
+void ServerConnection::Drop(Refusal reason) {
+  if (!m_socket.is_open()) {
+    return;
+  }
+  m_shared->Report(reason);
+  // The handler may be writing to this connection, or to another one that makes
+  // room for it.
+  auto on_closed = std::exchange(m_on_closed, nullptr);
+  CloseNow();
+  if (on_closed) {
+    asio::post(m_socket.get_executor(), std::move(on_closed));
+  }
 }
 
 std::string ServerConnection::FormatHead(int status,
@@ -270,6 +378,7 @@
   }
   AppendChunk(m_output, data);
   Flush();
+  UpdateMemory();
 }
 
 void ServerConnection::End(std::size_t sequence) {
@@ -303,6 +412,7 @@
   const bool close = m_close_announced || ClosesAfterResponse();
   m_phase = close ? Phase::kClosing : Phase::kReading;
   Flush();
+  UpdateMemory();
   if (!close && !m_input.empty()) {
     // Parsing from here would nest handlers of pipelined requests.
     asio::post(m_socket.get_executor(), [self = shared_from_this()] {
@@ -323,22 +433,43 @@
       BeginClosing();
     } else if (m_close_when_idle) {
       CloseWhenIdle();
+    } else if (m_phase == Phase::kReading && !m_first_byte_seen) {
+      m_timed_since = std::chrono::steady_clock::now();
     }
     return;
   }
   m_writing = std::exchange(m_output, {});
   m_write_pending = true;
-  asio::async_write(m_socket, asio::buffer(m_writing),
-                    [self = shared_from_this()](const asio::error_code& error,
-                                                std::size_t /*length*/) {
-                      self->m_write_pending = false;
-                      self->ReleaseWritten();
-                      if (error) {
-                        self->CloseNow();
-                        return;
-                      }
-                      self->Flush();
-                    });
+  m_write_progress = 0;
+  m_write_progress_at = std::chrono::steady_clock::now();
+  asio::async_write(
+      m_socket, asio::buffer(m_writing),
+      [self = shared_from_this()](const asio::error_code& error,
+                                  std::size_t sent) {
+        self->OnWriteProgress(sent);
+        return error ? 0 : kMaxWriteBytes;
+      },
+      [self = shared_from_this()](const asio::error_code& error,
+                                  std::size_t /*length*/) {
+        self->m_write_pending = false;
+        self->ReleaseWritten();
+        if (error) {
+          self->CloseNow();
+          return;
+        }
+        self->Flush();
+        self->UpdateMemory();
+      });
+}
+
+void ServerConnection::OnWriteProgress(std::size_t sent) {
+  if (sent == m_write_progress) {
+    return;
+  }
+  const Time now = std::chrono::steady_clock::now();
+  m_shared->memory.AddProgress(m_id, sent - m_write_progress, now);
+  m_write_progress = sent;
+  m_write_progress_at = now;
 }
 
 void ServerConnection::ReleaseWritten() {
@@ -362,6 +493,10 @@
   }
   asio::error_code ignored;
   m_socket.close(ignored);
+  m_shared->memory.Close(m_id);
+  // Handlers that are still queued keep the object for a while.
+  std::string().swap(m_body);
+  std::string().swap(m_input);
   NotifyClosed();
 }
 
@@ -375,9 +510,16 @@
   if (!m_socket.is_open()) {
     return;
   }
+  const CallerLimits& limits = m_shared->limits;
+  if (m_write_pending) {
+    if (now - m_write_progress_at > limits.idle_timeout) {
+      Drop(Refusal::kResponseTimeout);
+    }
+    return;
+  }
   const auto age = now - m_timed_since;
   if (m_phase == Phase::kClosing) {
-    if (age > kLingerTimeout && !m_write_pending) {
+    if (age > kLingerTimeout) {
       CloseNow();
     }
     return;
@@ -385,12 +527,29 @@
   if (m_phase != Phase::kReading) {
     return;
   }
-  const CallerLimits& limits = m_shared->limits;
-  if (m_first_byte_seen && !m_parser.IsHeadComplete() &&
-      age > limits.header_timeout) {
-    Reject(408);
+  if (m_first_byte_seen && !m_parser.IsHeadComplete()) {
+    if (age > limits.header_timeout) {
+      Reject(Refusal::kHeadTimeout);
+    }
+  } else if (m_first_byte_seen) {
+    const Time progress_at =
+        std::max(m_timed_since, m_shared->memory.ProgressAt(m_id));
+    if (now - progress_at > limits.idle_timeout) {
+      Reject(Refusal::kBodyTimeout);
+    }
   } else if (age > limits.idle_timeout) {
-    // The idle timeout also limits a body that does not arrive.
+    Drop(Refusal::kIdleTimeout);
+  }
+}
+
+void ServerConnection::EndWithoutRequest() {
+  if (m_phase == Phase::kResponding || m_write_pending) {
+    return;
+  }
+  if (m_phase == Phase::kReading && m_first_byte_seen &&
+      !m_parser.IsHeadComplete()) {
+    Reject(Refusal::kHeadTimeout);
+  } else {
     CloseNow();
   }
 }
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -1,36 +1,35 @@
 #ifndef JASMINEHATCH_STREAM_SERVER_CONNECTION_H_
 #define JASMINEHATCH_STREAM_SERVER_CONNECTION_H_
 
-#include <array>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
-#include "jasminehatch/detail/stream/server_exchange.h"
-#include "jasminehatch/detail/stream/stream_server.h"
+#include "jasminehatch/detail/shedding/caller_refusal.h"
+#include "jasminehatch/detail/shedding/memory_ledger.h"
 #include "message_parser.h"
 
 namespace jasminehatch::net {
 
-/// @brief State that the connections of a server share.
-struct SharedServerState {
-  StreamServer::Handler handler;
-  CallerLimits limits;
-  bool close_after_responses = false;
-};
+struct SharedServerState;
 
 /// @brief One caller connection: reads requests one after another and writes
 /// their responses.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   using Time = std::chrono::steady_clock::time_point;
+  using Refusal = shedding::CallerRefusal;
 
+  /// @param id under which the connection was added to the memory ledger
   ServerConnection(asio::ip::tcp::socket socket,
-                   std::shared_ptr<const SharedServerState> shared);
+                   std::shared_ptr<SharedServerState> shared,
+                   shedding::ConnectionId id);
+  ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
@@ -39,6 +38,14 @@
   /// Closes the connection if a time limit has passed.
   void CheckTimeouts(Time now);
 
+  /// Ends the connection unless a request is in progress or its last response
+  /// is still being written. A request with an incomplete head gets 408.
+  void EndWithoutRequest();
+
+  /// Frees the memory of a connection that was chosen to make room: refuses the
+  /// request that is being read, or closes the connection.
+  void Shed();
+
   /// Closes the connection, once a request that was already received and a
   /// response that is being written are done.
   void CloseWhenIdle();
@@ -67,7 +74,7 @@
   }
 
   /// Closes the connection and discards what was not sent.
-  void Drop() { CloseNow(); }
+  void Drop(Refusal reason);
 
  private:
   enum class Phase {
@@ -87,15 +94,33 @@
   /// stopping server first answers the requests that were received with it.
   bool ClosesAfterResponse() const;
   void Read();
-  void OnRead(const asio::error_code& error, std::size_t length);
+  void OnReadable(const asio::error_code& error);
+  void Receive(std::string_view data);
+  /// Parses bytes of one request and dispatches it when it is complete; the
+  /// bytes after it become `m_input`.
+  void Parse(std::string_view data);
   void ParseInput();
   void OnHead();
+  void OnBody(std::string_view data);
+  /// Makes the buffer of the body at least this large, if the limits of the
+  /// body and of the memory allow it; otherwise refuses the request.
+  void GrowBody(std::size_t bytes);
   void DispatchRequest();
-  void Reject(int status);
+  void Reject(Refusal reason);
+  shedding::Activity CurrentActivity() const;
+  /// Asks for the memory that the connection holds.
+  /// @param body_capacity memory of the body, in bytes
+  /// @return whether it was granted
+  bool AskForMemory(std::size_t body_capacity);
+  /// Reports the memory that the connection holds, which may drop others, or
+  /// the connection itself.
+  void UpdateMemory();
   /// Decides whether the connection is closed after the response.
   std::string FormatHead(int status, const HttpHeaders& headers);
   void Flush();
   void FinishResponse();
+  /// @param sent bytes of `m_writing` that were sent
+  void OnWriteProgress(std::size_t sent);
   /// Frees the memory of what was sent.
   void ReleaseWritten();
   void BeginClosing();
@@ -103,9 +128,9 @@
   void NotifyClosed();
 
   asio::ip::tcp::socket m_socket;
-  std::shared_ptr<const SharedServerState> m_shared;
+  std::shared_ptr<SharedServerState> m_shared;
+  shedding::ConnectionId m_id;
   MessageParser m_parser{HTTP_REQUEST};
-  std::array<char, 16384> m_buffer{};
   std::string m_input;  ///< Received and not yet parsed.
   std::string m_body;
   std::string m_output;
@@ -114,9 +139,11 @@
   std::size_t m_sequence = 0;
   Phase m_phase = Phase::kReading;
   Time m_timed_since{};  ///< Start of the period that `CheckTimeouts` limits.
-  /// Status with which the current request is rejected before it is dispatched;
-  /// 0 for none.
-  int m_reject_status = 0;
+  Time m_write_progress_at{};
+  std::size_t m_write_progress = 0;  ///< Sent bytes of `m_writing`.
+  std::size_t m_discarded = 0;  ///< Input after the last request, in bytes.
+  /// Why the current request is rejected before it is dispatched.
+  std::optional<Refusal> m_refusal;
   bool m_read_pending = false;
   bool m_write_pending = false;
   bool m_keep_alive = true;
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -34,8 +34,9 @@
   for (const HttpHeader& header : call.headers) {
     AppendHeader(text, header);
   }
-  if (!call.body.empty() || (call.method != "GET" && call.method != "HEAD")) {
-    text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  const std::size_t body_bytes = call.Body().size();
+  if (body_bytes > 0 || (call.method != "GET" && call.method != "HEAD")) {
+    text += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
   }
   text += "\r\n";
   return text;
@@ -269,7 +270,7 @@
   call->head = FormatRequestHead(call->request);
   call->send_started = true;
   const std::array<asio::const_buffer, 2> buffers{
-      asio::buffer(call->head), asio::buffer(call->request.body)};
+      asio::buffer(call->head), asio::buffer(call->request.Body())};
   asio::async_write(connection.socket, buffers,
                     // The captures keep socket and buffers alive until the
                     // write ends, even if the call ends first.
--- a/packages/net/src/stream/stream_server.cc
+++ b/packages/net/src/stream/stream_server.cc
@@ -10,6 +10,7 @@
 
 #include "jasminehatch/detail/base/exception.h"
 #include "server_connection.h"
+#include "shared_server_state.h"
 
 namespace jasminehatch::net {
 namespace {
@@ -73,11 +74,8 @@
     m_shut_down = true;
     StopAccepting();
     m_check_timer.cancel();
-    // Every time limit has passed at this time: a request with an incomplete
-    // head is answered with 408, and the other connections without a request in
-    // progress are closed unless their last response is still being written.
     for (const auto& connection : m_connections) {
-      connection->CheckTimeouts(ServerConnection::Time::max());
+      connection->EndWithoutRequest();
     }
   }
 
@@ -120,7 +118,9 @@
                                 tcp::socket socket) {
       if (!self->m_acceptor.is_open()) {
         if (!error && !self->m_shut_down) {
-          self->Add(std::move(socket))->CloseWhenIdle();
+          if (const auto connection = self->Add(std::move(socket))) {
+            connection->CloseWhenIdle();
+          }
         }
         return;
       }
@@ -155,9 +155,20 @@
     }
   }
 
+  /// @return the new connection; null if there is no room for it, and it was
+  /// closed
   std::shared_ptr<ServerConnection> Add(tcp::socket socket) {
+    const shedding::ConnectionId id = m_shared->next_connection++;
+    const auto decision =
+        m_shared->memory.Open(id, std::chrono::steady_clock::now());
+    m_shared->Drop(decision.dropped);
+    if (!decision.granted) {
+      m_shared->Report(shedding::CallerRefusal::kConnectionLimit);
+      return nullptr;
+    }
     auto connection =
-        std::make_shared<ServerConnection>(std::move(socket), m_shared);
+        std::make_shared<ServerConnection>(std::move(socket), m_shared, id);
+    m_shared->connections.emplace(id, connection);
     m_connections.push_back(connection);
     connection->Start();
     return connection;
@@ -170,7 +181,7 @@
                          [](const auto& left, const auto& right) {
                            return left->UnsentBytes() < right->UnsentBytes();
                          }))
-          ->Drop();
+          ->Drop(shedding::CallerRefusal::kResponseMemory);
     }
   }
 
@@ -220,6 +231,19 @@
   m_impl->Shared().limits = limits;
 }
 
+void StreamServer::SetMemoryLimits(const shedding::Options& options) {
+  m_impl->Shared().memory.SetOptions(options);
+}
+
+void StreamServer::SetRefusalCallback(
+    std::function<void(shedding::CallerRefusal)> callback) {
+  m_impl->Shared().on_refusal = std::move(callback);
+}
+
+std::size_t StreamServer::MemoryBytes() const {
+  return m_impl->Shared().memory.TotalBytes();
+}
+
 void StreamServer::CloseAfterResponses() {
   m_impl->Shared().close_after_responses = true;
 }
