--- a/packages/codec/include/jasminehatch/detail/settings/field_reader.h
+++ b/packages/codec/include/jasminehatch/detail/settings/field_reader.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_SETTINGS_FIELD_READER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -34,6 +35,13 @@
   std::chrono::milliseconds Duration(std::chrono::milliseconds low,
                                      std::chrono::milliseconds high) const;
 
+  /// @brief Reads an amount of memory with a unit: `kB`, `MB` or `GB` (powers
+  /// of 1000), `KiB`, `MiB` or `GiB`.
+  /// @return bytes
+  /// @throw SettingsError 104 when the unit is missing or unknown or the value
+  /// is out of range
+  std::size_t Bytes(std::size_t low, std::size_t high) const;
+
   /// @throw SettingsError 104 unless the value is `yes` or `no`
   bool Flag() const;
 
--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -70,6 +70,8 @@
   bool use_cache_stores = true;
   /// Whether prompts are refused when no engine has memory for them.
   bool limit_admission = true;
+  /// Memory of the VM, in bytes; 0 for what the operating system reports.
+  std::size_t memory = 0;
 
   /// @brief Reads settings from an INI document.
   /// @throw SettingsError with a number from 100 to 199; the message names the
--- a/packages/codec/src/settings/field_reader.cc
+++ b/packages/codec/src/settings/field_reader.cc
@@ -12,6 +12,14 @@
 constexpr std::array<std::pair<std::string_view, std::int64_t>, 4> kUnits{
     {{"ms", 1}, {"s", 1000}, {"min", 60'000}, {"h", 3'600'000}}};
 
+constexpr std::array<std::pair<std::string_view, std::size_t>, 6> kByteUnits{
+    {{"kB", 1000},
+     {"MB", 1'000'000},
+     {"GB", 1'000'000'000},
+     {"KiB", 1UL << 10U},
+     {"MiB", 1UL << 20U},
+     {"GiB", 1UL << 30U}}};
+
 std::string FormatRange(double low, double high) {
   std::array<char, 64> text{};
   const int length =
@@ -75,6 +83,23 @@
                 std::to_string(high.count()) + "ms");
 }
 
+std::size_t FieldReader::Bytes(std::size_t low, std::size_t high) const {
+  double value = 0;
+  const char* end = m_entry.value.data() + m_entry.value.size();
+  const auto [rest, error] = std::from_chars(m_entry.value.data(), end, value);
+  const std::string_view unit(rest, static_cast<std::size_t>(end - rest));
+  for (const auto& [name, factor] : kByteUnits) {
+    const double bytes = value * static_cast<double>(factor);
+    if (error == std::errc{} && unit == name &&
+        bytes >= static_cast<double>(low) &&
+        bytes <= static_cast<double>(high)) {
+      return static_cast<std::size_t>(bytes);
+    }
+  }
+  Fail(104, "must be a size with a unit (kB, MB, GB, KiB, MiB, GiB), from " +
+                std::to_string(low) + " to " + std::to_string(high) + " bytes");
+}
+
 bool FieldReader::Flag() const {
   if (m_entry.value == "yes") {
     return true;
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -31,6 +31,11 @@
   reader.Fail(104, "must be prefix, prefix_alone or least_loaded");
 }
 
+/// Memory below which a daemon does not run, and above which a value is a
+/// mistake, in bytes.
+constexpr std::size_t kMinMemory = 32'000'000;
+constexpr std::size_t kMaxMemory = 1'000'000'000'000;
+
 constexpr std::array kFields{
     ForwarderField{
         "name",
@@ -183,6 +188,13 @@
         },
         false, "yes",
         "whether prompts are refused when no engine has memory for them"},
+    ForwarderField{"memory",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.memory = r.Bytes(kMinMemory, kMaxMemory);
+                   },
+                   false, "as the operating system reports",
+                   "memory of the VM, with a unit (for example `112MB`); "
+                   "callers together can take a third of it"},
 };
 
 }  // namespace
--- a/packages/daemon/main/main.cc
+++ b/packages/daemon/main/main.cc
@@ -113,6 +113,7 @@
 int main(int argc, char** argv) {
   try {
     net::BlockSignals(kHandledSignals);
+    net::ReturnLargeBuffers();
     gflags::SetUsageMessage(
         "forwards prompts and bookings to upstreams; "
         "usage: jasminehatchd [--settings FILE]");
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -23,6 +23,8 @@
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/detail/forwarder/weights_rollout.h"
 #include "jasminehatch/detail/forwarder/zone_relay.h"
+#include "jasminehatch/detail/shedding/options.h"
+#include "jasminehatch/detail/shedding/refusal_summary.h"
 #include "jasminehatch/net.h"
 #include "jasminehatch/platform.h"
 #include "jasminehatch/telemetry.h"
@@ -196,10 +198,13 @@
     m_log.Write(DecisionLog::Level::kState, "settings_read_again", fields);
     m_settings.stop_grace = settings.stop_grace;
     m_host.Apply(forwarding::OptionsChanged{MakeForwardingOptions(settings)});
+    m_settings.memory = settings.memory;
+    LimitCallerMemory();
   }
 
  private:
   void Listen(asio::io_context& loop);
+  void LimitCallerMemory();
   TopicFollower::Callbacks ConfigurationCallbacks();
   TopicFollower::Callbacks RegistryCallbacks();
   /// @param just_written false for records of a snapshot, whose age is unknown
@@ -224,6 +229,8 @@
                      std::string_view dependency,
                      const std::string& detail);
   void CheckStop();
+  /// Logs how many callers were refused, by reason.
+  void LogCallerRefusals();
   void FlushLog();
 
   asio::io_context& m_loop;
@@ -231,6 +238,7 @@
   const Clock& m_clock;
   DecisionLog m_log;
   telemetry::Metrics m_metrics;
+  shedding::RefusalSummary m_refusals;
   net::HttpClient m_http_client;
   net::StreamClient m_stream_client;
   platform::StoreClient m_store;
@@ -266,6 +274,11 @@
       [this](const std::shared_ptr<net::ServerExchange>& exchange) {
         m_host.OnRequest(exchange);
       });
+  m_server->SetRefusalCallback([this](shedding::CallerRefusal reason) {
+    m_metrics.CountCallerRefusal(reason);
+    m_refusals.Count(reason);
+  });
+  LimitCallerMemory();
   const net::IpPort ready = RequireIpPort(m_settings.ready_address);
   net::HttpServer::Options options;
   options.address = ready.ip;
@@ -287,11 +300,33 @@
       loop, options,
       [this](const net::HttpRequest& /*request*/,
              const std::shared_ptr<net::ResponseWriter>& writer) {
+        m_metrics.SetCallerMemory(m_server->MemoryBytes());
         writer->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                      m_metrics.Render());
       });
 }
 
+void Forwarder::Impl::LimitCallerMemory() {
+  const shedding::Options options = MakeSheddingOptions(m_settings);
+  m_server->SetMemoryLimits(options);
+  const std::string limit = std::to_string(options.limit_bytes);
+  const std::string large = std::to_string(options.LargeLimit());
+  const std::string connections = std::to_string(options.connection_limit);
+  const std::array fields{DecisionLogField{"bytes", limit},
+                          DecisionLogField{"large_bodies", large},
+                          DecisionLogField{"connections", connections}};
+  m_log.Write(DecisionLog::Level::kState, "caller_memory_limit", fields);
+}
+
+void Forwarder::Impl::LogCallerRefusals() {
+  while (const auto line = m_refusals.TakeLine(m_clock.Now())) {
+    const std::string count = std::to_string(line->count);
+    const std::array fields{DecisionLogField{"reason", ToString(line->reason)},
+                            DecisionLogField{"count", count}};
+    m_log.Write(DecisionLog::Level::kNotable, "callers_refused", fields);
+  }
+}
+
 void Forwarder::Impl::LogDependency(std::string_view event,
                                     std::string_view dependency,
                                     const std::string& detail) {
@@ -557,6 +592,7 @@
 }
 
 void Forwarder::Impl::FlushLog() {
+  LogCallerRefusals();
   m_log.Flush();
   m_log_timer.expires_after(kLogFlushInterval);
   m_log_timer.async_wait([this](const asio::error_code& error) {
--- a/packages/daemon/src/forwarder/forwarder_options.cc
+++ b/packages/daemon/src/forwarder/forwarder_options.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "jasminehatch/codec.h"
+#include "jasminehatch/net.h"
 #include "jasminehatch/platform.h"
 
 namespace jasminehatch::daemon {
@@ -80,6 +81,13 @@
   return options;
 }
 
+shedding::Options MakeSheddingOptions(
+    const codec::ForwarderSettings& settings) {
+  const std::size_t memory =
+      settings.memory != 0 ? settings.memory : net::SystemMemoryBytes();
+  return shedding::Options::For(memory, net::DescriptorLimit());
+}
+
 TopicFollower::Options MakeConfigurationTopicOptions(
     const codec::ForwarderSettings& settings) {
   TopicFollower::Options options;
--- a/packages/daemon/src/forwarder/forwarder_options.h
+++ b/packages/daemon/src/forwarder/forwarder_options.h
@@ -6,6 +6,7 @@
 
 #include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/shedding/options.h"
 
 namespace jasminehatch::codec {
 struct ForwarderSettings;
@@ -29,6 +30,9 @@
 forwarding::Options MakeForwardingOptions(
     const codec::ForwarderSettings& settings);
 
+/// @return the limits on the memory and the number of callers' connections
+shedding::Options MakeSheddingOptions(const codec::ForwarderSettings& settings);
+
 /// @return how the topic with the configuration and weight versions is read
 TopicFollower::Options MakeConfigurationTopicOptions(
     const codec::ForwarderSettings& settings);
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -181,8 +181,8 @@
   active.splitter.Clear();
   active.streaming = false;
   active.event_received = false;
-  auto call = platform::EncodeAttempt(active.exchange->Request(), effect,
-                                      m_clock.Now());
+  auto call = platform::EncodeAttempt(
+      {active.exchange, &active.exchange->Request()}, effect, m_clock.Now());
   // An upstream may write a refusal once more on a kept connection. The id does
   // not tell it from the response to the same request, sent there again.
   call.fresh_connection =
--- a/packages/telemetry/include/jasminehatch/detail/telemetry/metrics.h
+++ b/packages/telemetry/include/jasminehatch/detail/telemetry/metrics.h
@@ -12,6 +12,7 @@
 #include "jasminehatch/detail/base/refusal.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/serving/priority.h"
+#include "jasminehatch/detail/shedding/caller_refusal.h"
 
 namespace jasminehatch::telemetry {
 
@@ -40,6 +41,11 @@
   void Count(Counter counter) {
     ++m_counters.at(static_cast<std::size_t>(counter));
   }
+  void CountCallerRefusal(shedding::CallerRefusal reason) {
+    ++m_caller_refusals.at(static_cast<std::size_t>(reason));
+  }
+  /// Sets the memory that callers take now, in bytes.
+  void SetCallerMemory(std::uint64_t bytes) { m_caller_memory = bytes; }
   void CountRequest() { ++m_requests; }
   void CountResponse() { ++m_responses; }
   void CountTokens(std::uint64_t prompt,
@@ -66,6 +72,8 @@
 
   std::array<std::uint64_t, kRefusalCodeCount> m_refusals{};
   std::array<std::uint64_t, kCounterCount> m_counters{};
+  std::array<std::uint64_t, shedding::kCallerRefusalCount> m_caller_refusals{};
+  std::uint64_t m_caller_memory = 0;
   std::array<std::array<Histogram, serving::kPriorityCount>, kLatencyCount>
       m_histograms;
   std::array<std::array<double, serving::kPriorityCount>, kLatencyCount>
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -78,6 +78,15 @@
         "{kind=\"" + std::string(ToString(static_cast<Counter>(i))) + "\"}",
         m_counters[i]);
   }
+  AppendLine(text, "caller_memory_bytes", "", m_caller_memory);
+  for (std::size_t i = 0; i < m_caller_refusals.size(); ++i) {
+    AppendLine(
+        text, "caller_refusals_total",
+        "{reason=\"" +
+            std::string(ToString(static_cast<shedding::CallerRefusal>(i))) +
+            "\"}",
+        m_caller_refusals[i]);
+  }
   for (std::size_t latency_index = 0; latency_index < kLatencyCount;
        ++latency_index) {
     for (std::size_t priority_index = 0;
