Limit the memory of callers of the gateway, and of the listeners for probes

RESTinio shows a request only when it is complete, so its socket counts what is received, and connections are closed when the limit is reached. Bodies beyond the limit are read for 64 KiB further instead of three times the limit.

--- a/packages/codec/include/jasminehatch/detail/settings/daemon_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/daemon_settings.h
@@ -38,6 +38,9 @@
       2000};  ///< Time for the load balancer to notice that the daemon is not
               ///< ready.
 
+  /// Memory of the VM, in bytes; 0 for what the operating system reports.
+  std::size_t memory = 0;
+
   std::string log_url;
   std::chrono::milliseconds log_timeout{2000};
   std::string vm_list_url;  ///< Empty when there is no VM list.
--- a/packages/codec/src/settings/daemon_settings.cc
+++ b/packages/codec/src/settings/daemon_settings.cc
@@ -16,6 +16,11 @@
 
 using DaemonField = Field<DaemonSettings>;
 
+/// Memory below which a daemon does not run, and above which a value is a
+/// mistake, in bytes.
+constexpr std::size_t kMinMemory = 32'000'000;
+constexpr std::size_t kMaxMemory = 1'000'000'000'000;
+
 constexpr std::array kDaemonFields{
     DaemonField{
         "name",
@@ -60,6 +65,13 @@
                 false, "2s",
                 "time at shutdown from when the daemon reports that it is not "
                 "ready until it refuses new requests"},
+    DaemonField{"memory",
+                [](const FieldReader& r, DaemonSettings& s) {
+                  s.memory = r.Bytes(kMinMemory, kMaxMemory);
+                },
+                false, "as the operating system reports",
+                "memory of the VM, with a unit (for example `512MB`); "
+                "callers together can take a third of it"},
 };
 
 constexpr std::array kPlatformFields{
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -23,7 +23,9 @@
 #include "jasminehatch/detail/http/http_server.h"
 #include "jasminehatch/detail/http/response_writer.h"
 #include "jasminehatch/detail/json/log_record.h"
+#include "jasminehatch/detail/process/system_memory.h"
 #include "jasminehatch/detail/settings/daemon_settings.h"
+#include "jasminehatch/detail/shedding/refusal_summary.h"
 #include "jasminehatch/telemetry.h"
 
 namespace jasminehatch::daemon {
@@ -101,7 +103,17 @@
                  {.address = settings.address,
                   .port = settings.port,
                   .body_limit = settings.body_limit,
-                  .read_timeout = settings.read_timeout},
+                  .read_timeout = settings.read_timeout,
+                  .memory = shedding::Options::For(
+                      settings.memory != 0 ? settings.memory
+                                           : net::SystemMemoryBytes(),
+                      net::DescriptorLimit()),
+                  .on_refusal =
+                      [this, &clock](shedding::CallerRefusal reason) {
+                        m_metrics.CountCallerRefusal(reason);
+                        m_refusals.Count(reason);
+                        LogCallerRefusals(clock.Now());
+                      }},
                  [this](net::HttpRequest request,
                         std::shared_ptr<net::ResponseWriter> writer) {
                    OnRequest(std::move(request), std::move(writer));
@@ -200,6 +212,15 @@
     }
   }
 
+  /// Logs how many callers were refused, at most once a second for each reason.
+  void LogCallerRefusals(MonotonicTime now) {
+    while (const auto line = m_refusals.TakeLine(now)) {
+      telemetry::LogWarning("callers_refused",
+                            {{"reason", ToString(line->reason)},
+                             {"count", std::to_string(line->count)}});
+    }
+  }
+
   void OnRequest(net::HttpRequest request,
                  std::shared_ptr<net::ResponseWriter> writer) {
     if (request.path == "/livez") {
@@ -207,6 +228,7 @@
     } else if (request.path == "/readyz") {
       writer->Send(IsReady() ? 200 : 503, kJsonHeaders, ReadyDocument().dump());
     } else if (request.path == "/metrics") {
+      m_metrics.SetCallerMemory(m_server.MemoryBytes());
       writer->Send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                    m_metrics.Render() + ConfigMetrics());
     } else if (request.path == "/rpc") {
@@ -268,6 +290,7 @@
   codec::DaemonSettings m_settings;
   std::uint64_t m_incarnation;
   telemetry::Metrics m_metrics;
+  shedding::RefusalSummary m_refusals;
   asio::steady_timer m_stop_timer;
   net::HttpClient m_client;
   CallerTable m_callers;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -82,6 +82,13 @@
 constexpr milliseconds kFinalResponseTime{200};
 constexpr milliseconds kLogFlushInterval{200};
 
+/// Limits of the listeners for readiness and metrics, whose requests are small.
+/// With heads of up to 80 KiB, their connections take at most 10 MB together.
+constexpr std::size_t kProbeBodyBytes = 1024;
+constexpr std::size_t kMaxProbeConnections = 64;
+/// Connections that stay idle make room for the probes of the load balancer.
+constexpr milliseconds kProbeReadTimeout{10'000};
+
 net::IpPort RequireIpPort(const std::string& text) {
   const auto parsed = net::ParseIpPort(text);
   if (!parsed) {
@@ -283,6 +290,9 @@
   net::HttpServer::Options options;
   options.address = ready.ip;
   options.port = ready.port;
+  options.body_limit = kProbeBodyBytes;
+  options.connection_limit = kMaxProbeConnections;
+  options.read_timeout = kProbeReadTimeout;
   m_ready_server = std::make_unique<net::HttpServer>(
       loop, options,
       [this](const net::HttpRequest& /*request*/,
--- a/packages/net/include/jasminehatch/detail/http/http_server.h
+++ b/packages/net/include/jasminehatch/detail/http/http_server.h
@@ -9,6 +9,8 @@
 #include <string>
 
 #include "jasminehatch/detail/http/http_message.h"
+#include "jasminehatch/detail/shedding/caller_refusal.h"
+#include "jasminehatch/detail/shedding/options.h"
 
 namespace asio {
 class io_context;
@@ -25,7 +27,7 @@
   struct Options {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;  ///< 0 lets the kernel choose.
-    /// In bytes. Larger bodies, up to four times the limit, are passed to the
+    /// In bytes. Bodies that are larger by up to 64 KiB are passed to the
     /// handler, which refuses them; beyond that the server closes the
     /// connection.
     std::size_t body_limit = 8UL << 20U;
@@ -35,6 +37,11 @@
     std::chrono::milliseconds write_timeout{60'000};
     /// Further connections wait in the kernel's backlog.
     std::size_t connection_limit = 20'000;
+    /// Limits the memory of what was received and of requests in progress, and
+    /// the number of connections; beyond them connections are closed.
+    shedding::Options memory;
+    /// Called for each connection that is closed because of `memory`.
+    std::function<void(shedding::CallerRefusal)> on_refusal;
   };
 
   using Handler = std::function<void(HttpRequest request,
@@ -53,6 +60,10 @@
   /// kernel
   std::size_t UnfinishedResponses() const;
 
+  /// @return the memory of connections, of what was received and of requests in
+  /// progress, in bytes
+  std::size_t MemoryBytes() const;
+
   /// Stops accepting connections. Responses in progress continue; later
   /// requests on open connections are refused with 503.
   void Close();
--- a/packages/net/src/http/http_server.cc
+++ b/packages/net/src/http/http_server.cc
@@ -9,8 +9,10 @@
 #include <variant>
 #include <vector>
 
+#include "counted_socket.h"
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/http/response_writer.h"
+#include "receive_gauge.h"
 
 namespace jasminehatch::net {
 namespace {
@@ -24,9 +26,10 @@
 constexpr std::size_t kMaxHeaderFieldSize = 16UL << 10U;
 constexpr std::size_t kMaxHeaderFields = 100;
 constexpr std::size_t kMaxTargetSize = 8UL << 10U;
-/// Bodies up to this multiple of the limit are read, so that the handler can
-/// refuse them with 413; on larger ones RESTinio closes the connection.
-constexpr std::uint64_t kReadBodyFactor = 4;
+/// Bodies that exceed the limit by up to this are read, so that the handler can
+/// refuse them with 413, in bytes; on larger ones RESTinio closes the
+/// connection at once.
+constexpr std::uint64_t kReadBeyondLimit = 64UL << 10U;
 /// Length announced by truncated streams.
 constexpr std::size_t kTruncatedLength = 1UL << 40U;
 
@@ -51,14 +54,23 @@
  public:
   /// @param unfinished number of responses of the server that are not yet
   /// handed to the kernel
+  /// @param gauge counts the memory of the request
   RestinioWriter(restinio::request_handle_t request,
-                 std::shared_ptr<std::size_t> unfinished)
+                 std::shared_ptr<std::size_t> unfinished,
+                 std::shared_ptr<ReceiveGauge> gauge)
       : m_request(std::move(request)),
-        m_unfinished_count(std::move(unfinished)) {
+        m_unfinished_count(std::move(unfinished)),
+        m_gauge(std::move(gauge)),
+        m_connection(m_request->connection_id()),
+        m_request_bytes(
+            m_gauge->OnHandedOver(m_connection, m_request->body().size())) {
     ++*m_unfinished_count;
   }
 
-  ~RestinioWriter() override { MarkHandedOver(); }
+  ~RestinioWriter() override {
+    MarkHandedOver();
+    m_gauge->OnDestroyed(m_request_bytes);
+  }
   RestinioWriter(const RestinioWriter&) = delete;
   RestinioWriter& operator=(const RestinioWriter&) = delete;
 
@@ -217,6 +229,7 @@
   void MarkHandedOver() {
     if (const auto unfinished = std::exchange(m_unfinished_count, nullptr)) {
       --*unfinished;
+      m_gauge->OnResponded(m_connection);
     }
   }
 
@@ -231,16 +244,22 @@
   /// Number of responses of the server that are not yet handed to the kernel;
   /// null once this one is.
   std::shared_ptr<std::size_t> m_unfinished_count;
-  std::string m_pending;       ///< Body bytes not yet passed to RESTinio.
-  std::size_t m_unsent = 0;    ///< Body bytes not yet passed to the kernel.
-  bool m_writing = false;      ///< RESTinio is writing a buffer.
-  bool m_end_pending = false;  ///< The response ends after `m_pending`.
+  std::shared_ptr<ReceiveGauge> m_gauge;
+  restinio::connection_id_t m_connection;
+  std::size_t m_request_bytes;  ///< Memory of the request.
+  std::string m_pending;        ///< Body bytes not yet passed to RESTinio.
+  std::size_t m_unsent = 0;     ///< Body bytes not yet passed to the kernel.
+  bool m_writing = false;       ///< RESTinio is writing a buffer.
+  bool m_end_pending = false;   ///< The response ends after `m_pending`.
   bool m_finished = false;
 };
 
 /// Notifies the writers of a connection when it closes.
 class ConnectionListener {
  public:
+  explicit ConnectionListener(std::shared_ptr<ReceiveGauge> gauge)
+      : m_gauge(std::move(gauge)) {}
+
   void Add(restinio::connection_id_t connection,
            const std::shared_ptr<RestinioWriter>& writer) {
     auto& writers = m_writers[connection];
@@ -250,10 +269,15 @@
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
+    if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
+            notice.cause())) {
+      m_gauge->OnAccepted(notice.connection_id());
+    }
     if (!restinio::holds_alternative<restinio::connection_state::closed_t>(
             notice.cause())) {
       return;
     }
+    m_gauge->OnClosed(notice.connection_id());
     const auto entry = m_writers.extract(notice.connection_id());
     if (entry.empty()) {
       return;
@@ -266,6 +290,7 @@
   }
 
  private:
+  std::shared_ptr<ReceiveGauge> m_gauge;
   std::unordered_map<restinio::connection_id_t,
                      std::vector<std::weak_ptr<RestinioWriter>>>
       m_writers;
@@ -273,6 +298,7 @@
 
 struct ServerTraits : public restinio::default_single_thread_traits_t {
   using connection_state_listener_t = ConnectionListener;
+  using stream_socket_t = CountedSocket;
   // The name is RESTinio's.
   // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
@@ -296,9 +322,12 @@
 class HttpServer::Impl {
  public:
   Impl(asio::io_context& loop, const Options& options, Handler handler)
-      : m_listener(std::make_shared<ConnectionListener>()),
-        m_shared(std::make_shared<SharedState>(SharedState{
-            std::move(handler), m_listener, std::make_shared<std::size_t>(0)})),
+      : m_gauge(
+            std::make_shared<ReceiveGauge>(options.memory, options.on_refusal)),
+        m_listener(std::make_shared<ConnectionListener>(m_gauge)),
+        m_shared(std::make_shared<SharedState>(
+            SharedState{std::move(handler), m_listener,
+                        std::make_shared<std::size_t>(0), m_gauge})),
         m_server(restinio::external_io_context(loop), [&](auto& settings) {
           settings.address(options.address)
               .port(options.port)
@@ -313,7 +342,7 @@
                       .max_field_name_size(kMaxHeaderFieldSize)
                       .max_field_value_size(kMaxHeaderFieldSize)
                       .max_field_count(kMaxHeaderFields)
-                      .max_body_size(options.body_limit * kReadBodyFactor))
+                      .max_body_size(options.body_limit + kReadBeyondLimit))
               .connection_state_listener(m_listener)
               .acceptor_options_setter(
                   [](restinio::acceptor_options_t& acceptor) {
@@ -349,9 +378,11 @@
 
   void Close() {
     m_shared->handler = {};
+    m_gauge->StopReporting();
     m_server.close_sync();
   }
 
+  std::size_t MemoryBytes() const { return m_gauge->MemoryBytes(); }
   std::size_t UnfinishedResponses() const { return *m_shared->unfinished; }
 
  private:
@@ -361,6 +392,7 @@
     Handler handler;  ///< Empty after `Close`.
     std::shared_ptr<ConnectionListener> listener;
     std::shared_ptr<std::size_t> unfinished;
+    std::shared_ptr<ReceiveGauge> gauge;
 
     restinio::request_handling_status_t OnRequest(
         const restinio::request_handle_t& request) {
@@ -372,13 +404,15 @@
             .set_body(std::string(kClosedResponseBody))
             .done();
       }
-      auto writer = std::make_shared<RestinioWriter>(request, unfinished);
+      auto writer =
+          std::make_shared<RestinioWriter>(request, unfinished, gauge);
       listener->Add(request->connection_id(), writer);
       handler(ToHttpRequest(*request), std::move(writer));
       return restinio::request_accepted();
     }
   };
 
+  std::shared_ptr<ReceiveGauge> m_gauge;
   std::shared_ptr<ConnectionListener> m_listener;
   std::shared_ptr<SharedState> m_shared;
   std::uint16_t m_port = 0;
@@ -400,6 +434,10 @@
   return m_impl->UnfinishedResponses();
 }
 
+std::size_t HttpServer::MemoryBytes() const {
+  return m_impl->MemoryBytes();
+}
+
 void HttpServer::Close() {
   m_impl->Close();
 }
