--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -322,3 +322,24 @@
                DecodeLease(R"({"group":"g","daemon":"e1","incarnation":1,)"
                            R"("nonce":1,"base":0,"release":[]})"));
 }
+
+// Guards against a memory setting that is read in another unit, and against one
+// without a unit, or of a size that no VM has.
+TEST(ForwarderCodec, ReadsMemoryWithItsUnit) {
+  const auto read = [](const std::string& value) {
+    return ForwarderSettings::Read(
+               IniDocument::Parse(kSettings + ("memory = " + value) + "\n",
+                                  "f.ini"))
+        .memory;
+  };
+  UNSIGNED_LONGS_EQUAL(112'000'000, read("112MB"));
+  UNSIGNED_LONGS_EQUAL(112'500'000, read("112.5MB"));
+  UNSIGNED_LONGS_EQUAL(128UL << 20U, read("128MiB"));
+  UNSIGNED_LONGS_EQUAL(
+      0,
+      ForwarderSettings::Read(IniDocument::Parse(kSettings, "f.ini")).memory);
+  for (const char* value : {"112", "112mb", "1MB", "-5GB", "nanMB", "2000GB"}) {
+    LONGS_EQUAL(104,
+                ErrorOf(kSettings + ("memory = " + std::string(value)) + "\n"));
+  }
+}
--- a/packages/core/include/jasminehatch/detail/shedding/options.h
+++ b/packages/core/include/jasminehatch/detail/shedding/options.h
@@ -33,8 +33,9 @@
 /// 64 kbit/s sends `kProgressBytes` in 2 s.
 inline constexpr std::chrono::milliseconds kStallTime{2000};
 
-/// Memory of a connection without a request, in bytes: the objects of the
-/// server (about 1.5 kB), the kernel's socket and the allocator's overhead.
+/// Memory of a connection without a request, in bytes: its object (568 bytes),
+/// its entries in tables, the event loop's state, the kernel's socket and the
+/// allocator's overhead. An estimate from above.
 inline constexpr std::size_t kConnectionBytes = 4096;
 
 /// Share of the file descriptors for the connections of callers. A request also
--- a/packages/emulator/include/jasminehatch/emulator.h
+++ b/packages/emulator/include/jasminehatch/emulator.h
@@ -11,6 +11,7 @@
 #include "jasminehatch/detail/emulator/free_address.h"
 #include "jasminehatch/detail/emulator/log_emulator.h"
 #include "jasminehatch/detail/emulator/loopback_host.h"
+#include "jasminehatch/detail/emulator/one_route_configuration.h"
 #include "jasminehatch/detail/emulator/platform_emulator.h"
 #include "jasminehatch/detail/emulator/platform_wire.h"
 #include "jasminehatch/detail/emulator/scripted_server.h"
--- a/packages/net/tests/caller_memory_test.cc
+++ b/packages/net/tests/caller_memory_test.cc
@@ -269,6 +269,7 @@
   Fixture fixture;
   fixture.Server().SetMemoryLimits({kLimit, 5});
   std::vector<std::unique_ptr<Fixture::Caller>> callers;
+  callers.reserve(5);
   for (int i = 0; i < 5; ++i) {
     callers.push_back(std::make_unique<Fixture::Caller>(fixture, "POST "));
   }
--- a/tests/caller_memory/tested_daemon.cc
+++ b/tests/caller_memory/tested_daemon.cc
@@ -14,13 +14,6 @@
 
 constexpr std::string_view kGatewayKey = "gateway-key";
 
-constexpr char kForwarderConfiguration[] =
-    R"({"version":1,"routes":[{"name":"once","host":"h.example",)"
-    R"("pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":20000,)"
-    R"("sloMs":150,"priority":2,"service":"desk","attempts":1}],)"
-    R"("services":[{"name":"desk","maxConns":50}],)"
-    R"("tenants":[{"name":"t1","apiKeys":["key"]}]})";
-
 net::StreamCall MakeCall(std::string address,
                          std::string method,
                          std::string target) {
@@ -44,7 +37,7 @@
         m_upstream(loop, "u1"),
         m_address(m_host.NewTcpAddress(loop)),
         m_ready_address(m_host.NewTcpAddress(loop)) {
-    m_platform.Put("keyed.op", "config", kForwarderConfiguration);
+    m_platform.PutConfiguration(emulator::OneRouteConfiguration("key"));
     m_platform.PutUpstream("u1", m_upstream.Entry("desk"));
     const std::string file = folder + "/forwarder.ini";
     std::ofstream(file) << "[forwarder]\nname = e1\nzone = a\naddress = "
