Keep requests out of zones that the operators evacuate

Upstreams of an evacuated zone get neither first attempts nor retries, and no prompt parts are fetched from its engines. Running requests end normally; cache stores and orders to load weights are not affected.

--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -58,6 +58,11 @@
   kRelayPollAnswered,
   kRelayPollUnanswered,
   kRelayRoleChanged,
+  kZoneEvacuated,
+  kZoneEvacuationEnded,
+  /// Requests refused because all upstreams that could run them are in
+  /// evacuated zones.
+  kRefusedInEvacuatedZone,
   kCount,
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -214,6 +214,17 @@
   PartVerdict verdict;
 };
 
+/// The operators began or ended the evacuation of an availability zone.
+struct EvacuationChanged {
+  std::string zone;
+  bool evacuated = false;
+};
+
+/// All evacuated zones were read; the others are not evacuated.
+struct EvacuationsListed {
+  std::vector<std::string> zones;
+};
+
 /// The time returned by `State::NextTimer` was reached.
 struct TimerFired {};
 
@@ -244,6 +255,8 @@
                            PeerCountsChanged,
                            CrashReportReceived,
                            PartVerdictReceived,
+                           EvacuationChanged,
+                           EvacuationsListed,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/placement.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/placement.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/zone_block.h"
 
 namespace jasminehatch::forwarding {
 
@@ -27,6 +28,9 @@
   /// The prompt has shared parts; the choice followed
   /// `Options::prompt_placement`.
   bool by_prompt = false;
+  /// Without `upstream`: what keeps the request from upstreams that could run
+  /// it.
+  ZoneBlock zone_block = ZoneBlock::kNone;
 };
 
 /// @brief Chooses an upstream of the request's service.
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -15,6 +15,7 @@
 #include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/cache_use_window.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
+#include "jasminehatch/detail/forwarding/evacuated_zones.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
@@ -47,6 +48,7 @@
   std::unordered_map<RequestId, Request> requests;
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
+  EvacuatedZones evacuated_zones;
   std::uint64_t next_attempt = 1;
 
   /// @return when the next `TimerFired` is due, if any
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -48,6 +48,9 @@
     "relay_poll_answered",
     "relay_poll_unanswered",
     "relay_role_changed",
+    "zone_evacuated",
+    "zone_evacuation_ended",
+    "refused_in_evacuated_zone",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
 
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -106,8 +106,7 @@
     return;
   }
   if (placement.upstream == nullptr) {
-    Refuse(request, RefusalCode::kNoUpstream,
-           "no upstream of service " + request.service + " can be used");
+    RefuseForLackOfUpstreams(request, placement);
     return;
   }
   if (placement.overloaded) {
@@ -121,6 +120,21 @@
   LogPlacement(request, placement, "placed", "");
 }
 
+void Reducer::RefuseForLackOfUpstreams(Request& request,
+                                       const Placement& placement) {
+  std::string detail = "no upstream of service " + request.service;
+  switch (placement.zone_block) {
+    case ZoneBlock::kEvacuated:
+      m_effects.emplace_back(CountEvent{Counter::kRefusedInEvacuatedZone});
+      detail += " outside the evacuated zones";
+      break;
+    case ZoneBlock::kRegion:
+    case ZoneBlock::kNone:
+      break;
+  }
+  Refuse(request, RefusalCode::kNoUpstream, detail + " can be used");
+}
+
 void Reducer::LogPlacement(const Request& request,
                            const Placement& placement,
                            std::string_view event,
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -64,6 +64,7 @@
     Placement placement;
     placement.candidates = m_candidates.size();
     if (m_candidates.empty()) {
+      placement.zone_block = FindZoneBlock();
       return placement;
     }
     double sum = 0;
@@ -178,8 +179,33 @@
            CanRun(upstream);
   }
 
+  ZoneBlock BlockOf(const Upstream& upstream) const {
+    return m_state.evacuated_zones.Contains(upstream.entry.zone)
+               ? ZoneBlock::kEvacuated
+               : ZoneBlock::kNone;
+  }
+
+  /// @return what keeps the request from upstreams that could run it; an
+  /// evacuation takes precedence
+  ZoneBlock FindZoneBlock() const {
+    ZoneBlock block = ZoneBlock::kNone;
+    for (const Upstream* upstream :
+         m_state.upstreams.OfService(m_request.service)) {
+      if (block != ZoneBlock::kEvacuated && CanRunInAnyZone(*upstream)) {
+        const ZoneBlock found = BlockOf(*upstream);
+        block = found == ZoneBlock::kNone ? block : found;
+      }
+    }
+    return block;
+  }
+
   /// @return whether the upstream could run the request if it accepted it
   bool CanRun(const Upstream& upstream) const {
+    return BlockOf(upstream) == ZoneBlock::kNone && CanRunInAnyZone(upstream);
+  }
+
+  /// @return the same, whatever zones the request may use
+  bool CanRunInAnyZone(const Upstream& upstream) const {
     if (!m_state.upstreams.IsUsable(upstream, m_now) ||
         upstream.IsLoading(m_now)) {
       return false;
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -92,6 +92,8 @@
     m_state.part_suspects.Merge(event.verdict, m_now);
     ReportPartVerdicts();
   }
+  void Apply(const EvacuationChanged& event);
+  void Apply(const EvacuationsListed& event);
   void Apply(const TimerFired& event);
 
   Effects TakeEffects() { return std::move(m_effects); }
@@ -173,6 +175,9 @@
   void Log(std::string_view event, std::vector<DecisionField> fields) {
     m_effects.emplace_back(LogDecision{event, "", std::move(fields)});
   }
+  void ReportEvacuation(const std::string& zone, bool evacuated);
+  /// Refuses a request for which no upstream can be used.
+  void RefuseForLackOfUpstreams(Request& request, const Placement& placement);
   void LogPlacement(const Request& request,
                     const Placement& placement,
                     std::string_view event,
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -202,7 +202,13 @@
   void Listen(asio::io_context& loop);
   TopicFollower::Callbacks ConfigurationCallbacks();
   TopicFollower::Callbacks RegistryCallbacks();
+  /// Applies a record of the operators or its removal.
   /// @param just_written false for records of a snapshot, whose age is unknown
+  void ApplyOperatorRecord(const platform::StoreRecord& record,
+                           bool just_written);
+  /// Ends the evacuations without a record in the snapshot, and applies its
+  /// records.
+  void OnOperatorSnapshot(std::span<const platform::StoreRecord> records);
   void OnOperatorRecords(std::span<const platform::StoreRecord> records,
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
@@ -303,7 +309,7 @@
 TopicFollower::Callbacks Forwarder::Impl::ConfigurationCallbacks() {
   TopicFollower::Callbacks callbacks;
   callbacks.on_snapshot = [this](auto records) {
-    OnOperatorRecords(records, false);
+    OnOperatorSnapshot(records);
   };
   callbacks.on_records = [this](auto records) {
     OnOperatorRecords(records, true);
@@ -351,27 +357,40 @@
   return callbacks;
 }
 
+void Forwarder::Impl::ApplyOperatorRecord(const platform::StoreRecord& record,
+                                          bool just_written) {
+  try {
+    auto event =
+        record.removed
+            ? platform::DecodeOperatorRemoval(record.key)
+            : platform::DecodeOperatorRecord(record.key, record.value);
+    if (!event) {
+      return;
+    }
+    if (auto* published = std::get_if<forwarding::WeightsPublished>(&*event)) {
+      published->publish_time_known = just_written;
+    }
+    m_host.Apply(*event);
+    LogDependency(record.removed ? "operator_record_removed"
+                                 : "operator_record_applied",
+                  record.key, "offset " + std::to_string(record.offset));
+  } catch (const CodecError& error) {
+    LogDependency("operator_record_invalid", record.key, error.what());
+  }
+}
+
+void Forwarder::Impl::OnOperatorSnapshot(
+    std::span<const platform::StoreRecord> records) {
+  m_host.Apply(
+      forwarding::EvacuationsListed{platform::EvacuatedZones(records)});
+  OnOperatorRecords(records, false);
+}
+
 void Forwarder::Impl::OnOperatorRecords(
     std::span<const platform::StoreRecord> records,
     bool just_written) {
   for (const platform::StoreRecord& record : records) {
-    if (record.removed) {
-      continue;
-    }
-    try {
-      if (auto event =
-              platform::DecodeOperatorRecord(record.key, record.value)) {
-        if (auto* published =
-                std::get_if<forwarding::WeightsPublished>(&*event)) {
-          published->publish_time_known = just_written;
-        }
-        m_host.Apply(*event);
-        LogDependency("operator_record_applied", record.key,
-                      "offset " + std::to_string(record.offset));
-      }
-    } catch (const CodecError& error) {
-      LogDependency("operator_record_invalid", record.key, error.what());
-    }
+    ApplyOperatorRecord(record, just_written);
   }
   m_rollout.Update();
   UpdateCacheStoreFollowers();
