Restrict requests to allowed regions, and evacuate zones in the product's own interface

A route and a workspace may list allowed regions; requests and their prompt parts then use only upstreams and cache stores in zones whose region is in both lists. The gateway takes evacuated zones from its configuration, and jasminehatchctl evacuate begins and ends them.

--- a/packages/codec/include/jasminehatch/detail/configuration/configuration.h
+++ b/packages/codec/include/jasminehatch/detail/configuration/configuration.h
@@ -30,6 +30,8 @@
   /// Workspace names by the first `kDigestIndexLength` hexadecimal digits of
   /// `key_sha256`.
   std::map<std::string, std::string> workspaces_by_digest;
+  /// Availability zones whose upstreams get no new requests.
+  std::set<std::string> evacuated_zones;
 
   /// @brief Builds and checks the configuration from published entries.
   /// @throw SettingsError with a number from 110 to 119, or from 103 to 106 for
--- a/packages/codec/include/jasminehatch/detail/settings/field_reader.h
+++ b/packages/codec/include/jasminehatch/detail/settings/field_reader.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "jasminehatch/detail/ini/ini_document.h"
 
@@ -17,6 +18,8 @@
   FieldReader(const IniDocument& document, const IniEntry& entry)
       : m_document(document), m_entry(entry) {}
 
+  bool IsEmpty() const { return m_entry.value.empty(); }
+
   /// @throw SettingsError 105 when the value is empty
   std::string Text() const;
 
@@ -37,6 +40,11 @@
   /// @throw SettingsError 104 unless the value is `yes` or `no`
   bool Flag() const;
 
+  /// @return the items of a list separated by commas, without the spaces around
+  /// them; empty items are left out
+  /// @throw SettingsError 105 when the value is empty
+  std::vector<std::string> List() const;
+
   /// @throw SettingsError with this number, the location, the key and `cause`
   [[noreturn]] void Fail(int number, std::string_view cause) const;
 
--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -70,6 +70,14 @@
   bool use_cache_stores = true;
   /// Whether prompts are refused when no engine has memory for them.
   bool limit_admission = true;
+  /// Maximum time after the operators began the evacuation of a zone for which
+  /// its upstreams still get new requests; zero if there is no such limit.
+  std::chrono::milliseconds evacuate_limit{0};
+  /// Region of this daemon's zone, if `zone_regions` does not name it; empty if
+  /// unknown.
+  std::string region;
+  /// Regions of the availability zones.
+  forwarding::ZoneRegions zone_regions;
 
   /// @brief Reads settings from an INI document.
   /// @throw SettingsError with a number from 100 to 199; the message names the
--- a/packages/codec/src/configuration/configuration.cc
+++ b/packages/codec/src/configuration/configuration.cc
@@ -23,25 +23,6 @@
 /// carry no information.
 constexpr std::size_t kMinReasonLength = 10;
 
-std::vector<std::string> SplitList(std::string_view text) {
-  std::vector<std::string> items;
-  while (!text.empty()) {
-    const std::size_t end = std::min(text.find(','), text.size());
-    std::string_view item = text.substr(0, end);
-    while (!item.empty() && item.front() == ' ') {
-      item.remove_prefix(1);
-    }
-    while (!item.empty() && item.back() == ' ') {
-      item.remove_suffix(1);
-    }
-    if (!item.empty()) {
-      items.emplace_back(item);
-    }
-    text.remove_prefix(std::min(end + 1, text.size()));
-  }
-  return items;
-}
-
 using WorkspaceField = Field<Workspace>;
 
 constexpr std::array kWorkspaceFields{
@@ -58,7 +39,7 @@
     WorkspaceField{
         "models",
         [](const FieldReader& r, Workspace& w) {
-          for (const std::string& item : SplitList(r.Text())) {
+          for (const std::string& item : r.List()) {
             const std::size_t at = item.rfind('@');
             if (at == std::string::npos || at == 0 || at + 1 == item.size()) {
               r.Fail(111, "must be a list of MODEL@VERSION");
@@ -72,7 +53,7 @@
         false, "none", "models and weight versions that the workspace may use"},
     WorkspaceField{"services",
                    [](const FieldReader& r, Workspace& w) {
-                     for (std::string& item : SplitList(r.Text())) {
+                     for (std::string& item : r.List()) {
                        w.services.insert(std::move(item));
                      }
                    },
@@ -132,6 +113,20 @@
                   "maximum concurrent requests of one daemon on an upstream"},
 };
 
+/// @brief An availability zone and what the operators do with it.
+struct Zone {
+  bool evacuated = false;
+};
+
+using ZoneField = Field<Zone>;
+
+constexpr std::array kZoneFields{
+    ZoneField{"evacuated",
+              [](const FieldReader& r, Zone& z) { z.evacuated = r.Flag(); },
+              true, "",
+              "whether the upstreams of the zone get no new requests"},
+};
+
 /// @brief Locates entries for error messages: in a file with line numbers, or
 /// by their heading when they come from the log.
 class EntryLocator {
@@ -278,14 +273,23 @@
                             location + ": needs either 'model' or 'service'");
       }
       configuration.upstreams.push_back(std::move(spec));
+    } else if (id.kind == "zone" && !id.name.empty()) {
+      Zone zone;
+      ReadSection<Zone>(document, section, kZoneFields, zone);
+      if (zone.evacuated) {
+        configuration.evacuated_zones.insert(id.name);
+      }
     } else if (id.kind != "exception" &&
                id != config::EntryId{"defaults", ""}) {
       throw SettingsError(103, location +
                                    ": unknown section; allowed: defaults, "
                                    "workspace NAME, upstream NAME, "
-                                   "exception NAME");
+                                   "exception NAME, zone NAME");
     }
   }
+  for (UpstreamSpec& spec : configuration.upstreams) {
+    spec.evacuated = configuration.evacuated_zones.contains(spec.zone);
+  }
   for (const auto& [id, fields] : entries) {
     if (id.kind == "exception") {
       ApplyException(id, fields, locator, configuration);
--- a/packages/codec/src/settings/field_reader.cc
+++ b/packages/codec/src/settings/field_reader.cc
@@ -1,5 +1,6 @@
 #include "jasminehatch/detail/settings/field_reader.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -75,6 +76,27 @@
                 std::to_string(high.count()) + "ms");
 }
 
+std::vector<std::string> FieldReader::List() const {
+  std::vector<std::string> items;
+  const std::string value = Text();
+  std::string_view text = value;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(','), text.size());
+    std::string_view item = text.substr(0, end);
+    while (!item.empty() && item.front() == ' ') {
+      item.remove_prefix(1);
+    }
+    while (!item.empty() && item.back() == ' ') {
+      item.remove_suffix(1);
+    }
+    if (!item.empty()) {
+      items.emplace_back(item);
+    }
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return items;
+}
+
 bool FieldReader::Flag() const {
   if (m_entry.value == "yes") {
     return true;
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -31,6 +31,25 @@
   reader.Fail(104, "must be prefix, prefix_alone or least_loaded");
 }
 
+forwarding::ZoneRegions ReadZoneRegions(const FieldReader& reader) {
+  forwarding::ZoneRegions regions;
+  // The platform fills in an empty list where no zone has a region.
+  if (reader.IsEmpty()) {
+    return regions;
+  }
+  for (const std::string& item : reader.List()) {
+    const std::size_t colon = item.find(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == item.size()) {
+      reader.Fail(104, "must be a list of ZONE:REGION");
+    }
+    if (!regions.emplace(item.substr(0, colon), item.substr(colon + 1))
+             .second) {
+      reader.Fail(104, "names a zone twice");
+    }
+  }
+  return regions;
+}
+
 constexpr std::array kFields{
     ForwarderField{
         "name",
@@ -183,6 +202,27 @@
         },
         false, "yes",
         "whether prompts are refused when no engine has memory for them"},
+    ForwarderField{
+        "evacuate_limit",
+        [](const FieldReader& r, ForwarderSettings& s) {
+          s.evacuate_limit = r.Duration(milliseconds(500), minutes(10));
+        },
+        false, "none",
+        "maximum time after the operators began the evacuation of a zone for "
+        "which its upstreams still get new requests"},
+    ForwarderField{
+        "region",
+        [](const FieldReader& r, ForwarderSettings& s) { s.region = r.Text(); },
+        false, "unknown",
+        "region of this daemon's zone, if `zone_regions` does not name it"},
+    ForwarderField{"zone_regions",
+                   [](const FieldReader& r, ForwarderSettings& s) {
+                     s.zone_regions = ReadZoneRegions(r);
+                   },
+                   false, "none",
+                   "regions of the availability zones, as a list of "
+                   "ZONE:REGION; may be empty. A zone without a region gets no "
+                   "requests that are restricted to regions"},
 };
 
 }  // namespace
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -63,6 +63,9 @@
   /// Requests refused because all upstreams that could run them are in
   /// evacuated zones.
   kRefusedInEvacuatedZone,
+  /// Requests refused because no upstream that could run them is in a region
+  /// that they may use.
+  kRefusedOutsideRegions,
   kCount,
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/cache_stores.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/cache_stores.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/allowed_zones.h"
 #include "jasminehatch/detail/forwarding/cache_event.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
 
@@ -50,19 +51,23 @@
   /// @brief Finds a reachable store that holds at least `tokens` tokens of the
   /// part.
   /// @param zone availability zone of the upstream that would fetch the part
+  /// @param allowed zones of the stores that the request may use
   /// @return the address of the store, or an empty view
   std::string_view Find(std::string_view salt,
                         const std::string& id,
                         std::uint32_t tokens,
-                        std::string_view zone) const;
+                        std::string_view zone,
+                        const AllowedZones& allowed = {}) const;
 
   /// @brief Chooses the store to save a part to, and records the pending save.
-  /// @return the address of the store; empty if a save of the part is pending
-  /// or no store has room
+  /// @param allowed zones of the stores that the request may use
+  /// @return the address of the store; empty if a save of the part to one of
+  /// them is pending or none has room
   std::string_view Reserve(std::string_view salt,
                            const std::string& id,
                            std::uint32_t tokens,
-                           MonotonicTime now);
+                           MonotonicTime now,
+                           const AllowedZones& allowed = {});
 
   /// @return up to `limit` parts of the store that may be freed, since their
   /// weights were replaced so long ago that no fetch can be in progress
--- a/packages/core/include/jasminehatch/detail/forwarding/configuration.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration.h
@@ -41,6 +41,8 @@
   bool carries_prompt = false;  ///< Requests name the prompt parts.
   bool resumable = false;       ///< Streams may resume elsewhere.
   std::vector<WeightedService> services;
+  /// Regions in which its requests may be processed; empty for all.
+  std::vector<std::string> allowed_regions;
 };
 
 /// @brief Properties of a service whose upstreams are engines.
@@ -77,6 +79,8 @@
   std::vector<std::string> keys;
   bool private_cache = false;   ///< Shares no cached parts with others.
   std::optional<int> priority;  ///< Overrides the route's priority.
+  /// Regions in which its requests may be processed; empty for all.
+  std::vector<std::string> allowed_regions = {};
 };
 
 /// @brief Limits on the size and timing of requests.
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarding/allowed_zones.h"
 
 namespace jasminehatch::forwarding {
 
@@ -88,6 +89,10 @@
   /// times `overload_factor` by more than `overload_margin` requests.
   double overload_factor = 1.3;
   double overload_margin = 3;
+
+  /// Regions of the availability zones. A zone without an entry gets no request
+  /// that is restricted to regions.
+  ZoneRegions zone_regions;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -1,6 +1,8 @@
 #ifndef JASMINEHATCH_DETAIL_FORWARDING_ROUTE_TABLE_H_
 #define JASMINEHATCH_DETAIL_FORWARDING_ROUTE_TABLE_H_
 
+#include <cstddef>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -35,6 +37,12 @@
   /// @param workspace name; empty for requests without a workspace
   std::string CacheScope(const std::string& workspace) const;
 
+  /// @return the regions in which the requests of a workspace may be
+  /// processed; empty for all
+  /// @param workspace name; empty for requests without a workspace
+  std::span<const std::string> WorkspaceRegions(
+      const std::string& workspace) const;
+
   /// @return the service, or null
   const Service* FindService(std::string_view name) const;
 
@@ -46,6 +54,8 @@
   std::unordered_map<std::string, std::size_t> m_services;
   std::unordered_set<std::string> m_sharing_workspaces;  ///< Names.
   std::string m_shared_scope;
+  /// Workspaces whose requests are restricted to regions, by name.
+  std::unordered_map<std::string, std::size_t> m_restricted_workspaces;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/serving/dispatcher.h
+++ b/packages/core/include/jasminehatch/detail/serving/dispatcher.h
@@ -46,6 +46,10 @@
   void RefuseUnserved(const std::string& model);
 
  private:
+  /// Refuses a request that no upstream serves, and says whether one does in an
+  /// evacuated zone; `request` is dangling afterwards.
+  void RefuseUnserved(Request& request, std::string detail);
+
   enum class Outcome { kStarted, kNoUpstream, kRefused };
 
   /// @return the upstreams that serve the version, regardless of capacity
--- a/packages/core/include/jasminehatch/detail/serving/upstream_spec.h
+++ b/packages/core/include/jasminehatch/detail/serving/upstream_spec.h
@@ -23,8 +23,10 @@
   double cache_bytes_per_token =
       1000;  ///< Size of the exported cache of one token.
   std::uint32_t max_in_flight = 64;  ///< Maximum running requests per daemon.
-  bool leaving = false;  ///< An operator marked the upstream as leaving; see
-                         ///< `UpstreamView::leaving`.
+  bool leaving = false;    ///< An operator marked the upstream as leaving; see
+                           ///< `UpstreamView::leaving`.
+  bool evacuated = false;  ///< The operators evacuate its zone; it gets no new
+                           ///< attempts.
 };
 
 }  // namespace jasminehatch::serving
--- a/packages/core/include/jasminehatch/detail/serving/upstream_view.h
+++ b/packages/core/include/jasminehatch/detail/serving/upstream_view.h
@@ -83,6 +83,10 @@
   /// report is older than the configured version, both must match.
   bool HoldsVersion(std::string_view version) const;
 
+  /// @return whether the configuration and the notices about it allow new
+  /// attempts
+  bool MayBeUsed() const { return configured && !leaving && !spec.evacuated; }
+
   /// @return whether it accepts new attempts for the model and version
   bool Serves(std::string_view model,
               std::string_view version,
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -51,6 +51,7 @@
     "zone_evacuated",
     "zone_evacuation_ended",
     "refused_in_evacuated_zone",
+    "refused_outside_regions",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
 
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -5,8 +5,10 @@
 #include <utility>
 #include <vector>
 
+#include "jasminehatch/detail/forwarding/allowed_zones.h"
 #include "jasminehatch/detail/forwarding/cache_salt.h"
 #include "jasminehatch/detail/forwarding/placement.h"
+#include "jasminehatch/detail/forwarding/residency.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
 #include "reducer.h"
@@ -129,6 +131,9 @@
       detail += " outside the evacuated zones";
       break;
     case ZoneBlock::kRegion:
+      m_effects.emplace_back(CountEvent{Counter::kRefusedOutsideRegions});
+      detail += " in the allowed regions";
+      break;
     case ZoneBlock::kNone:
       break;
   }
@@ -249,12 +254,13 @@
   const bool may_use =
       m_state.cache_use.MayUse(model, plan.expected_version, m_now);
   const auto clock_ms = m_state.shared_clock.At(m_now);
+  const AllowedZones allowed_zones = AllowedZonesOf(m_state, request);
   // The last part is specific to this request and is not reused.
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
     const PromptPart& part = parts[i];
     const std::string_view store_address =
         may_use ? m_state.stores.Find(plan.salt, part.id, part.tokens,
-                                      upstream.entry.zone)
+                                      upstream.entry.zone, allowed_zones)
                 : std::string_view();
     // A fetch without a time limit could go on when the part is freed.
     if (!store_address.empty() && clock_ms) {
@@ -263,8 +269,8 @@
                                             std::chrono::milliseconds(1);
     } else if (store_address.empty() && part.tokens >= kMinSavedTokens) {
       if (may_use) {
-        plan.save[i] =
-            m_state.stores.Reserve(plan.salt, part.id, part.tokens, m_now);
+        plan.save[i] = m_state.stores.Reserve(plan.salt, part.id, part.tokens,
+                                              m_now, allowed_zones);
       }
       // The preferred upstream returns the part only under the same salt. If it
       // does not have it, the failed fetch costs little.
--- a/packages/core/src/forwarding/cache_stores.cc
+++ b/packages/core/src/forwarding/cache_stores.cc
@@ -119,13 +119,14 @@
 std::string_view CacheStores::Find(std::string_view salt,
                                    const std::string& id,
                                    std::uint32_t tokens,
-                                   std::string_view zone) const {
+                                   std::string_view zone,
+                                   const AllowedZones& allowed) const {
   const Store* best = nullptr;
   const auto cost = [&](const Store& store) {
     return std::pair(store.spec.zone != zone, store.spec.first_byte_delay);
   };
   for (const auto& [address, store] : m_stores) {
-    if (!store.reachable) {
+    if (!store.reachable || !allowed.Contains(store.spec.zone)) {
       continue;
     }
     const auto parts = store.parts.find(salt);
@@ -144,14 +145,15 @@
 std::string_view CacheStores::Reserve(std::string_view salt,
                                       const std::string& id,
                                       std::uint32_t tokens,
-                                      MonotonicTime now) {
+                                      MonotonicTime now,
+                                      const AllowedZones& allowed) {
   Store* best = nullptr;
   /// Preference of `best`: whether it has at least `kUnreportedShare` free
   /// after the save, then its score.
   std::pair<bool, double> best_preference;
   const std::uint64_t part_hash = StableHash(id, StableHash(salt));
   for (auto& [address, store] : m_stores) {
-    if (!store.reachable) {
+    if (!store.reachable || !allowed.Contains(store.spec.zone)) {
       continue;
     }
     const auto pending = store.pending_saves.find({std::string(salt), id});
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <vector>
 
+#include "jasminehatch/detail/forwarding/allowed_zones.h"
+#include "jasminehatch/detail/forwarding/residency.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
 
@@ -47,7 +49,8 @@
         m_request(request),
         m_now(now),
         m_version_limits(LimitsFor(state, request, now)),
-        m_has_peer_reports(state.fleet.HasRecentReports(now)) {
+        m_has_peer_reports(state.fleet.HasRecentReports(now)),
+        m_allowed_zones(AllowedZonesOf(state, request)) {
     const Service* service =
         request.table ? request.table->FindService(request.service) : nullptr;
     if (service != nullptr && service->engine && request.arrival.prompt) {
@@ -180,6 +183,9 @@
   }
 
   ZoneBlock BlockOf(const Upstream& upstream) const {
+    if (!m_allowed_zones.Contains(upstream.entry.zone)) {
+      return ZoneBlock::kRegion;
+    }
     return m_state.evacuated_zones.Contains(upstream.entry.zone)
                ? ZoneBlock::kEvacuated
                : ZoneBlock::kNone;
@@ -296,6 +302,7 @@
   MonotonicTime m_now;
   VersionLimits m_version_limits;
   bool m_has_peer_reports;
+  AllowedZones m_allowed_zones;
   /// Memory of each engine, in tokens; 0 if unknown or for requests without a
   /// prompt.
   double m_engine_memory_tokens = 0;
--- a/packages/core/src/forwarding/route_table.cc
+++ b/packages/core/src/forwarding/route_table.cc
@@ -53,6 +53,9 @@
     if (workspace.private_cache) {
       private_workspaces.insert(workspace.name);
     }
+    if (!workspace.allowed_regions.empty()) {
+      m_restricted_workspaces.emplace(workspace.name, i);
+    }
   }
   for (const Workspace& workspace : m_configuration.workspaces) {
     if (!private_workspaces.contains(workspace.name)) {
@@ -95,6 +98,17 @@
              : "workspace:" + workspace;
 }
 
+std::span<const std::string> RouteTable::WorkspaceRegions(
+    const std::string& workspace) const {
+  if (m_restricted_workspaces.empty()) {
+    return {};
+  }
+  const auto found = m_restricted_workspaces.find(workspace);
+  return found == m_restricted_workspaces.end()
+             ? std::span<const std::string>()
+             : m_configuration.workspaces[found->second].allowed_regions;
+}
+
 const Service* RouteTable::FindService(std::string_view name) const {
   const auto found = m_services.find(std::string(name));
   return found == m_services.end() ? nullptr
--- a/packages/core/src/serving/dispatcher.cc
+++ b/packages/core/src/serving/dispatcher.cc
@@ -42,7 +42,19 @@
 /// @return whether the upstream serves the version, or will once it is
 /// reachable and not paused
 bool CanServe(const UpstreamView& view, const std::string& version) {
-  return view.configured && !view.leaving && view.HoldsVersion(version);
+  return view.MayBeUsed() && view.HoldsVersion(version);
+}
+
+/// @return whether an upstream serves the version in an evacuated zone
+bool IsEvacuated(const State& state,
+                 const ModelGroup& model,
+                 const std::string& version) {
+  return std::any_of(model.upstreams.begin(), model.upstreams.end(),
+                     [&](UpstreamId id) {
+                       const UpstreamView& view = state.View(id);
+                       return view.spec.evacuated && view.configured &&
+                              !view.leaving && view.HoldsVersion(version);
+                     });
 }
 
 bool AnyCanServe(const State& state,
@@ -71,11 +83,10 @@
   const auto found = state.models.find(arrival.model);
   if (found == state.models.end() ||
       !AnyCanServe(state, found->second, arrival.weight_version)) {
-    m_requests.Refuse(request, RefusalCode::kNoUpstream,
-                      "no upstream serves " + arrival.model +
-                          (arrival.weight_version.empty()
-                               ? ""
-                               : " version " + arrival.weight_version));
+    RefuseUnserved(request, "no upstream serves " + arrival.model +
+                                (arrival.weight_version.empty()
+                                     ? ""
+                                     : " version " + arrival.weight_version));
     return;
   }
   ModelGroup& model = found->second;
@@ -177,8 +188,7 @@
   ModelGroup& model = state.models[request.arrival.model];
   m_requests.StopWaiting(request);
   if (!AnyCanServe(state, model, request.arrival.weight_version)) {
-    m_requests.Refuse(request, RefusalCode::kNoUpstream,
-                      "no upstream serves the weight version any more");
+    RefuseUnserved(request, "no upstream serves the weight version any more");
     return;
   }
   VersionGroup& group = model.versions[request.arrival.weight_version];
@@ -424,6 +434,17 @@
   }
 }
 
+void Dispatcher::RefuseUnserved(Request& request, std::string detail) {
+  const auto model = m_context.state.models.find(request.arrival.model);
+  if (model != m_context.state.models.end() &&
+      IsEvacuated(m_context.state, model->second,
+                  request.arrival.weight_version)) {
+    m_context.Count(Counter::kRefusedInEvacuatedZone);
+    detail += " outside the evacuated zones";
+  }
+  m_requests.Refuse(request, RefusalCode::kNoUpstream, std::move(detail));
+}
+
 void Dispatcher::RefuseUnserved(const std::string& model) {
   State& state = m_context.state;
   const auto found = state.models.find(model);
@@ -440,8 +461,8 @@
       waiting.push_back(*next);
     }
     for (const RequestId id : waiting) {
-      m_requests.Refuse(*m_requests.Find(id), RefusalCode::kNoUpstream,
-                        "no upstream serves the weight version any more");
+      RefuseUnserved(*m_requests.Find(id),
+                     "no upstream serves the weight version any more");
     }
   }
 }
--- a/packages/core/src/serving/upstream_view.cc
+++ b/packages/core/src/serving/upstream_view.cc
@@ -19,7 +19,7 @@
 bool UpstreamView::Serves(std::string_view model,
                           std::string_view version,
                           MonotonicTime now) const {
-  return configured && !leaving && reachable && spec.model == model &&
+  return MayBeUsed() && reachable && spec.model == model &&
          !(report && report->loading) &&
          (!paused_until || *paused_until <= now) && HoldsVersion(version);
 }
--- a/packages/core/tests/evacuation_test.cc
+++ b/packages/core/tests/evacuation_test.cc
@@ -14,7 +14,11 @@
 
 #include <CppUTest/TestHarness.h>
 
-using namespace jasminehatch;
+using jasminehatch::Counter;
+using jasminehatch::CountEvent;
+using jasminehatch::Duration;
+using jasminehatch::RefusalCode;
+using jasminehatch::Verdict;
 using namespace jasminehatch::forwarding;
 using namespace jasminehatch::forwarding::test;
 
@@ -52,10 +56,9 @@
 
 std::size_t CountOf(const Effects& effects, Counter counter) {
   const auto counts = EffectsOf<CountEvent>(effects);
-  return static_cast<std::size_t>(
-      std::count_if(counts.begin(), counts.end(), [&](const CountEvent& event) {
-        return event.counter == counter;
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      counts.begin(), counts.end(),
+      [&](const CountEvent& event) { return event.counter == counter; }));
 }
 
 }  // namespace
--- a/packages/ctl/include/jasminehatch/detail/ctl/commands.h
+++ b/packages/ctl/include/jasminehatch/detail/ctl/commands.h
@@ -16,6 +16,7 @@
 int ShowCommand(Arguments arguments);
 int DiffCommand(Arguments arguments);
 int DrainCommand(Arguments arguments);
+int EvacuateCommand(Arguments arguments);
 int BookingCommand(Arguments arguments);
 int StatusCommand(Arguments arguments);
 
--- a/packages/ctl/include/jasminehatch/detail/ctl/common.h
+++ b/packages/ctl/include/jasminehatch/detail/ctl/common.h
@@ -36,6 +36,11 @@
 std::map<config::EntryId, config::Fields> LoadConfigurationFile(
     const std::string& file);
 
+/// @brief Adds the zones of the configuration in force to a file's entries that
+/// lack them, since only `evacuate end` ends an evacuation.
+void KeepZones(const std::map<config::EntryId, config::Fields>& current,
+               std::map<config::EntryId, config::Fields>& wanted);
+
 /// @return the `/status` document of a daemon, or nothing when it does not
 /// respond
 std::optional<nlohmann::json> FetchStatus(SyncClient& client,
--- a/packages/ctl/src/command.cc
+++ b/packages/ctl/src/command.cc
@@ -31,6 +31,13 @@
             "Publishes a change that marks the upstream as leaving; publishing "
             "a file without the mark takes it back.",
             &DrainCommand},
+    Command{"evacuate",
+            "evacuate begin|end ZONE --log URL [--author NAME] | evacuate "
+            "state --log URL",
+            "Begins or ends the evacuation of an availability zone, whose "
+            "upstreams then get no new requests, or prints the evacuated "
+            "zones. Publishing a file does not end an evacuation.",
+            &EvacuateCommand},
     Command{"show", "show --log URL",
             "Prints the configuration in force as INI.", &ShowCommand},
     Command{"booking", "booking KEY --daemons URL,URL --key WORKSPACE_KEY",
--- a/packages/ctl/src/common.cc
+++ b/packages/ctl/src/common.cc
@@ -50,6 +50,15 @@
   return entries;
 }
 
+void KeepZones(const std::map<config::EntryId, config::Fields>& current,
+               std::map<config::EntryId, config::Fields>& wanted) {
+  for (const auto& [id, fields] : current) {
+    if (id.kind == "zone") {
+      wanted.emplace(id, fields);
+    }
+  }
+}
+
 std::optional<json> FetchStatus(SyncClient& client,
                                 const std::string& url,
                                 std::string& error) {
--- a/packages/ctl/src/diff_command.cc
+++ b/packages/ctl/src/diff_command.cc
@@ -30,9 +30,10 @@
   if (FLAGS_log.empty()) {
     return ReportMissingFlag("log");
   }
-  const auto wanted = LoadConfigurationFile(arguments[0]);
+  auto wanted = LoadConfigurationFile(arguments[0]);
   SyncClient client;
   const config::ConfigFold fold = ConfigClient(client, FLAGS_log).ReadAll();
+  KeepZones(fold.Entries(), wanted);
   const auto updates = DiffEntries(fold.Entries(), wanted);
   if (FLAGS_json) {
     json changes = json::array();
--- a/packages/ctl/src/publish_command.cc
+++ b/packages/ctl/src/publish_command.cc
@@ -50,10 +50,11 @@
   }
   SyncClient client;
   ConfigClient config_client(client, FLAGS_log);
+  auto wanted = LoadConfigurationFile(arguments[0]);
+  KeepZones(config_client.ReadAll().Entries(), wanted);
   config::Version version = 0;
   const auto result =
-      config_client.Publish(LoadConfigurationFile(arguments[0]), NewChangeId(),
-                            FLAGS_author, version);
+      config_client.Publish(wanted, NewChangeId(), FLAGS_author, version);
   const bool in_force =
       result == PublishResult::kAccepted || result == PublishResult::kUnchanged;
   if (!FLAGS_wait || !in_force) {
--- a/packages/ctl/src/status_command.cc
+++ b/packages/ctl/src/status_command.cc
@@ -27,6 +27,7 @@
                 << " model=" << upstream.value("model", "?")
                 << " reachable=" << YesNo(upstream, "reachable")
                 << " leaving=" << YesNo(upstream, "leaving")
+                << " evacuated=" << YesNo(upstream, "evacuated")
                 << " in_flight=" << upstream.value("in_flight", 0) << '\n';
     }
   }
--- a/packages/daemon/include/jasminehatch/detail/daemon/configuration_executor.h
+++ b/packages/daemon/include/jasminehatch/detail/daemon/configuration_executor.h
@@ -2,6 +2,8 @@
 #define JASMINEHATCH_DETAIL_DAEMON_CONFIGURATION_EXECUTOR_H_
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <string_view>
 
 #include "jasminehatch/detail/config/effect.h"
@@ -63,6 +65,9 @@
   void Apply(const config::SurveyPeers& /*effect*/) {}
   void Apply(const config::StaleChanged& effect);
   void Apply(const CountEvent& effect);
+  /// Counts and logs the zones whose evacuation began or ended.
+  void ReportEvacuations(const std::set<std::string>& before,
+                         const std::set<std::string>& now);
 
   Context m_context;
   codec::Configuration m_configuration;
--- a/packages/daemon/src/booking_executor.cc
+++ b/packages/daemon/src/booking_executor.cc
@@ -64,8 +64,7 @@
 void BookingExecutor::Apply(const booking::Dispatch& effect) {
   std::vector<const serving::UpstreamView*> candidates;
   for (const serving::UpstreamView& view : m_context.state.serving.upstreams) {
-    if (view.configured && !view.leaving &&
-        view.spec.model == "service:" + effect.service) {
+    if (view.MayBeUsed() && view.spec.model == "service:" + effect.service) {
       candidates.push_back(&view);
     }
   }
--- a/packages/daemon/src/configuration_executor.cc
+++ b/packages/daemon/src/configuration_executor.cc
@@ -1,5 +1,6 @@
 #include "jasminehatch/detail/daemon/configuration_executor.h"
 
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -35,6 +36,8 @@
 }
 
 void ConfigurationExecutor::Apply(const config::ApplyConfiguration& effect) {
+  const std::set<std::string> evacuated_before =
+      m_configuration.evacuated_zones;
   try {
     m_configuration = codec::Configuration::FromEntries(
         m_context.state.config.reader.Fold().Entries());
@@ -50,12 +53,30 @@
   }
   telemetry::LogInfo("config_in_force",
                      {{"version", std::to_string(effect.version)}});
+  ReportEvacuations(evacuated_before, m_configuration.evacuated_zones);
   m_context.sink.Post(
       serving::Event{serving::UpstreamsConfigured{m_configuration.upstreams}});
   m_context.sink.Post(
       config::Event{config::ApplyEnded{effect.version, true, ""}});
 }
 
+void ConfigurationExecutor::ReportEvacuations(
+    const std::set<std::string>& before,
+    const std::set<std::string>& now) {
+  for (const std::string& zone : now) {
+    if (!before.contains(zone)) {
+      m_context.metrics.Count(Counter::kZoneEvacuated);
+      telemetry::LogInfo("zone_evacuated", {{"zone", zone}});
+    }
+  }
+  for (const std::string& zone : before) {
+    if (!now.contains(zone)) {
+      m_context.metrics.Count(Counter::kZoneEvacuationEnded);
+      telemetry::LogInfo("zone_evacuation_ended", {{"zone", zone}});
+    }
+  }
+}
+
 void ConfigurationExecutor::Apply(const config::FetchFromPeer& effect) {
   telemetry::LogInfo(
       "config_read_from_peer",
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -259,6 +259,7 @@
                                        {"model", view.spec.model},
                                        {"configured", view.configured},
                                        {"leaving", view.leaving},
+                                       {"evacuated", view.spec.evacuated},
                                        {"reachable", view.reachable},
                                        {"in_flight", view.in_flight}});
     }
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -190,7 +190,8 @@
         settings.name != m_settings.name || settings.zone != m_settings.zone ||
         settings.upstreams_check_fences != m_settings.upstreams_check_fences ||
         settings.lease_time != m_settings.lease_time ||
-        settings.drain_limit != m_settings.drain_limit;
+        settings.drain_limit != m_settings.drain_limit ||
+        settings.evacuate_limit != m_settings.evacuate_limit;
     const std::array fields{
         DecisionLogField{"needs_restart", needs_restart ? "yes" : "no"}};
     m_log.Write(DecisionLog::Level::kState, "settings_read_again", fields);
@@ -308,9 +309,7 @@
 
 TopicFollower::Callbacks Forwarder::Impl::ConfigurationCallbacks() {
   TopicFollower::Callbacks callbacks;
-  callbacks.on_snapshot = [this](auto records) {
-    OnOperatorSnapshot(records);
-  };
+  callbacks.on_snapshot = [this](auto records) { OnOperatorSnapshot(records); };
   callbacks.on_records = [this](auto records) {
     OnOperatorRecords(records, true);
   };
@@ -360,10 +359,9 @@
 void Forwarder::Impl::ApplyOperatorRecord(const platform::StoreRecord& record,
                                           bool just_written) {
   try {
-    auto event =
-        record.removed
-            ? platform::DecodeOperatorRemoval(record.key)
-            : platform::DecodeOperatorRecord(record.key, record.value);
+    auto event = record.removed
+                     ? platform::DecodeOperatorRemoval(record.key)
+                     : platform::DecodeOperatorRecord(record.key, record.value);
     if (!event) {
       return;
     }
@@ -371,9 +369,9 @@
       published->publish_time_known = just_written;
     }
     m_host.Apply(*event);
-    LogDependency(record.removed ? "operator_record_removed"
-                                 : "operator_record_applied",
-                  record.key, "offset " + std::to_string(record.offset));
+    LogDependency(
+        record.removed ? "operator_record_removed" : "operator_record_applied",
+        record.key, "offset " + std::to_string(record.offset));
   } catch (const CodecError& error) {
     LogDependency("operator_record_invalid", record.key, error.what());
   }
@@ -449,7 +447,10 @@
 void Forwarder::Impl::RenewFreshnessProof() {
   const forwarding::State& state = m_host.State();
   const auto age = m_clock.Now() - state.confirmed_at.value_or(m_clock.Now());
-  if (age >= std::chrono::duration_cast<Duration>(state.options.max_proof_age *
+  // An evacuation may have a shorter time limit than a revoked key.
+  const Duration max_age =
+      std::min(state.options.max_proof_age, OperatorRecordLimit(m_settings));
+  if (age >= std::chrono::duration_cast<Duration>(max_age *
                                                   ProofRenewFraction()) &&
       m_clock.Now() - m_proof_requested_at >= (m_configuration.IsFailing()
                                                    ? kProofRetryDelayInOutage
--- a/packages/daemon/src/forwarder/forwarder_options.cc
+++ b/packages/daemon/src/forwarder/forwarder_options.cc
@@ -77,6 +77,10 @@
   options.prompt_placement = settings.prompt_placement;
   options.use_cache_stores = settings.use_cache_stores;
   options.limit_admission = settings.limit_admission;
+  options.zone_regions = settings.zone_regions;
+  if (!settings.region.empty()) {
+    options.zone_regions.emplace(settings.zone, settings.region);
+  }
   return options;
 }
 
@@ -85,8 +89,8 @@
   TopicFollower::Options options;
   options.topic = platform::kOperatorTopic;
   options.max_wait = kConfigurationLongPollTime;
-  options.max_relayed_age = Share(
-      settings.revoke_limit, kProofLimitFraction * kFollowerProofRenewFraction);
+  options.max_relayed_age = std::chrono::duration_cast<milliseconds>(
+      OperatorRecordLimit(settings) * kFollowerProofRenewFraction);
   options.notable_outage = kRegistryOutageThreshold;
   options.is_renewal = [](std::string_view before, std::string_view after) {
     return before == after;
@@ -94,6 +98,14 @@
   return options;
 }
 
+Duration OperatorRecordLimit(const codec::ForwarderSettings& settings) {
+  const milliseconds limit =
+      settings.evacuate_limit == milliseconds::zero()
+          ? settings.revoke_limit
+          : std::min(settings.revoke_limit, settings.evacuate_limit);
+  return Share(limit, kProofLimitFraction);
+}
+
 TopicFollower::Options MakeRegistryTopicOptions(
     const codec::ForwarderSettings& settings) {
   TopicFollower::Options options;
--- a/packages/daemon/src/forwarder/forwarder_options.h
+++ b/packages/daemon/src/forwarder/forwarder_options.h
@@ -29,6 +29,10 @@
 forwarding::Options MakeForwardingOptions(
     const codec::ForwarderSettings& settings);
 
+/// @return the maximum age of what is known of the operators' records, from
+/// which the time limits of revoked keys and of evacuations could be missed
+Duration OperatorRecordLimit(const codec::ForwarderSettings& settings);
+
 /// @return how the topic with the configuration and weight versions is read
 TopicFollower::Options MakeConfigurationTopicOptions(
     const codec::ForwarderSettings& settings);
--- a/packages/testing/src/serving_checker.cc
+++ b/packages/testing/src/serving_checker.cc
@@ -149,6 +149,7 @@
   const Upstream& upstream = m_upstreams.at(effect.upstream.value);
   Require(upstream.configured, name + "the upstream is not configured");
   Require(!upstream.leaving, name + "the upstream is leaving");
+  Require(!upstream.spec.evacuated, name + "the upstream's zone is evacuated");
   Require(!upstream.report || !upstream.report->loading,
           name + "the upstream is loading weights");
   Require(upstream.spec.model == request.arrival.model,
