--- a/packages/ctl/src/evacuate_command.cc
+++ b/packages/ctl/src/evacuate_command.cc
@@ -35,8 +35,8 @@
     const std::size_t upstreams = CountUpstreams(entries, id.name);
     zones.push_back({{"zone", id.name}, {"upstreams", upstreams}});
     if (!FLAGS_json) {
-      std::cout << "zone " << id.name << " is evacuated, upstreams: "
-                << upstreams << '\n';
+      std::cout << "zone " << id.name
+                << " is evacuated, upstreams: " << upstreams << '\n';
     }
   }
   if (FLAGS_json) {
