--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -72,6 +72,14 @@
   bool limit_admission = true;
   /// Memory of the VM, in bytes; 0 for what the operating system reports.
   std::size_t memory = 0;
+  /// Maximum time after the operators began the evacuation of a zone for which
+  /// its upstreams still get new requests; zero if there is no such limit.
+  std::chrono::milliseconds evacuate_limit{0};
+  /// Region of this daemon's zone, if `zone_regions` does not name it; empty if
+  /// unknown.
+  std::string region;
+  /// Regions of the availability zones.
+  forwarding::ZoneRegions zone_regions;
 
   /// @brief Reads settings from an INI document.
   /// @throw SettingsError with a number from 100 to 199; the message names the
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -58,6 +58,14 @@
   kRelayPollAnswered,
   kRelayPollUnanswered,
   kRelayRoleChanged,
+  kZoneEvacuated,
+  kZoneEvacuationEnded,
+  /// Requests refused because all upstreams that could run them are in
+  /// evacuated zones.
+  kRefusedInEvacuatedZone,
+  /// Requests refused because no upstream that could run them is in a region
+  /// that they may use.
+  kRefusedOutsideRegions,
   kCount,
 };
 
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <vector>
 
+#include "jasminehatch/detail/forwarding/allowed_zones.h"
+#include "jasminehatch/detail/forwarding/residency.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
 
@@ -47,7 +49,8 @@
         m_request(request),
         m_now(now),
         m_version_limits(LimitsFor(state, request, now)),
-        m_has_peer_reports(state.fleet.HasRecentReports(now)) {
+        m_has_peer_reports(state.fleet.HasRecentReports(now)),
+        m_allowed_zones(AllowedZonesOf(state, request)) {
     const Service* service =
         request.table ? request.table->FindService(request.service) : nullptr;
     if (service != nullptr && service->engine && request.arrival.prompt) {
@@ -64,6 +67,7 @@
     Placement placement;
     placement.candidates = m_candidates.size();
     if (m_candidates.empty()) {
+      placement.zone_block = FindZoneBlock();
       return placement;
     }
     double sum = 0;
@@ -178,8 +182,36 @@
            CanRun(upstream);
   }
 
+  ZoneBlock BlockOf(const Upstream& upstream) const {
+    if (!m_allowed_zones.Contains(upstream.entry.zone)) {
+      return ZoneBlock::kRegion;
+    }
+    return m_state.evacuated_zones.Contains(upstream.entry.zone)
+               ? ZoneBlock::kEvacuated
+               : ZoneBlock::kNone;
+  }
+
+  /// @return what keeps the request from upstreams that could run it; an
+  /// evacuation takes precedence
+  ZoneBlock FindZoneBlock() const {
+    ZoneBlock block = ZoneBlock::kNone;
+    for (const Upstream* upstream :
+         m_state.upstreams.OfService(m_request.service)) {
+      if (block != ZoneBlock::kEvacuated && CanRunInAnyZone(*upstream)) {
+        const ZoneBlock found = BlockOf(*upstream);
+        block = found == ZoneBlock::kNone ? block : found;
+      }
+    }
+    return block;
+  }
+
   /// @return whether the upstream could run the request if it accepted it
   bool CanRun(const Upstream& upstream) const {
+    return BlockOf(upstream) == ZoneBlock::kNone && CanRunInAnyZone(upstream);
+  }
+
+  /// @return the same, whatever zones the request may use
+  bool CanRunInAnyZone(const Upstream& upstream) const {
     if (!m_state.upstreams.IsUsable(upstream, m_now) ||
         upstream.IsLoading(m_now)) {
       return false;
@@ -270,6 +302,7 @@
   MonotonicTime m_now;
   VersionLimits m_version_limits;
   bool m_has_peer_reports;
+  AllowedZones m_allowed_zones;
   /// Memory of each engine, in tokens; 0 if unknown or for requests without a
   /// prompt.
   double m_engine_memory_tokens = 0;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -199,7 +199,8 @@
         settings.name != m_settings.name || settings.zone != m_settings.zone ||
         settings.upstreams_check_fences != m_settings.upstreams_check_fences ||
         settings.lease_time != m_settings.lease_time ||
-        settings.drain_limit != m_settings.drain_limit;
+        settings.drain_limit != m_settings.drain_limit ||
+        settings.evacuate_limit != m_settings.evacuate_limit;
     const std::array fields{
         DecisionLogField{"needs_restart", needs_restart ? "yes" : "no"}};
     m_log.Write(DecisionLog::Level::kState, "settings_read_again", fields);
@@ -214,7 +215,13 @@
   void LimitCallerMemory();
   TopicFollower::Callbacks ConfigurationCallbacks();
   TopicFollower::Callbacks RegistryCallbacks();
+  /// Applies a record of the operators or its removal.
   /// @param just_written false for records of a snapshot, whose age is unknown
+  void ApplyOperatorRecord(const platform::StoreRecord& record,
+                           bool just_written);
+  /// Ends the evacuations without a record in the snapshot, and applies its
+  /// records.
+  void OnOperatorSnapshot(std::span<const platform::StoreRecord> records);
   void OnOperatorRecords(std::span<const platform::StoreRecord> records,
                          bool just_written);
   void OnUpstreamRecords(std::span<const platform::StoreRecord> records);
@@ -347,9 +354,7 @@
 
 TopicFollower::Callbacks Forwarder::Impl::ConfigurationCallbacks() {
   TopicFollower::Callbacks callbacks;
-  callbacks.on_snapshot = [this](auto records) {
-    OnOperatorRecords(records, false);
-  };
+  callbacks.on_snapshot = [this](auto records) { OnOperatorSnapshot(records); };
   callbacks.on_records = [this](auto records) {
     OnOperatorRecords(records, true);
   };
@@ -396,27 +401,39 @@
   return callbacks;
 }
 
+void Forwarder::Impl::ApplyOperatorRecord(const platform::StoreRecord& record,
+                                          bool just_written) {
+  try {
+    auto event = record.removed
+                     ? platform::DecodeOperatorRemoval(record.key)
+                     : platform::DecodeOperatorRecord(record.key, record.value);
+    if (!event) {
+      return;
+    }
+    if (auto* published = std::get_if<forwarding::WeightsPublished>(&*event)) {
+      published->publish_time_known = just_written;
+    }
+    m_host.Apply(*event);
+    LogDependency(
+        record.removed ? "operator_record_removed" : "operator_record_applied",
+        record.key, "offset " + std::to_string(record.offset));
+  } catch (const CodecError& error) {
+    LogDependency("operator_record_invalid", record.key, error.what());
+  }
+}
+
+void Forwarder::Impl::OnOperatorSnapshot(
+    std::span<const platform::StoreRecord> records) {
+  m_host.Apply(
+      forwarding::EvacuationsListed{platform::EvacuatedZones(records)});
+  OnOperatorRecords(records, false);
+}
+
 void Forwarder::Impl::OnOperatorRecords(
     std::span<const platform::StoreRecord> records,
     bool just_written) {
   for (const platform::StoreRecord& record : records) {
-    if (record.removed) {
-      continue;
-    }
-    try {
-      if (auto event =
-              platform::DecodeOperatorRecord(record.key, record.value)) {
-        if (auto* published =
-                std::get_if<forwarding::WeightsPublished>(&*event)) {
-          published->publish_time_known = just_written;
-        }
-        m_host.Apply(*event);
-        LogDependency("operator_record_applied", record.key,
-                      "offset " + std::to_string(record.offset));
-      }
-    } catch (const CodecError& error) {
-      LogDependency("operator_record_invalid", record.key, error.what());
-    }
+    ApplyOperatorRecord(record, just_written);
   }
   m_rollout.Update();
   UpdateCacheStoreFollowers();
@@ -475,7 +492,10 @@
 void Forwarder::Impl::RenewFreshnessProof() {
   const forwarding::State& state = m_host.State();
   const auto age = m_clock.Now() - state.confirmed_at.value_or(m_clock.Now());
-  if (age >= std::chrono::duration_cast<Duration>(state.options.max_proof_age *
+  // An evacuation may have a shorter time limit than a revoked key.
+  const Duration max_age =
+      std::min(state.options.max_proof_age, OperatorRecordLimit(m_settings));
+  if (age >= std::chrono::duration_cast<Duration>(max_age *
                                                   ProofRenewFraction()) &&
       m_clock.Now() - m_proof_requested_at >= (m_configuration.IsFailing()
                                                    ? kProofRetryDelayInOutage
