--- a/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
+++ b/packages/codec/include/jasminehatch/detail/settings/forwarder_settings.h
@@ -70,6 +70,11 @@
   bool use_cache_stores = true;
   /// Whether prompts are refused when no engine has memory for them.
   bool limit_admission = true;
+  /// Requests per second that a cold upstream may get from all daemons, as a
+  /// multiple of the rate in the configuration.
+  double warm_up_factor = 1;
+  /// Requests per second that are allowed in addition to `warm_up_factor`.
+  double warm_up_slack = 0;
 
   /// @brief Reads settings from an INI document.
   /// @throw SettingsError with a number from 100 to 199; the message names the
--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -183,6 +183,23 @@
         },
         false, "yes",
         "whether prompts are refused when no engine has memory for them"},
+    ForwarderField{
+        "warm_up_factor",
+        [](const FieldReader& r, ForwarderSettings& s) {
+          s.warm_up_factor = r.Number(0, 1e6);
+        },
+        false, "1",
+        "requests per second that a cold upstream may get from all daemons, "
+        "as a multiple of the rate in the configuration"},
+    ForwarderField{
+        "warm_up_slack",
+        [](const FieldReader& r, ForwarderSettings& s) {
+          s.warm_up_slack = r.Number(0, 1e6);
+        },
+        false, "0",
+        "requests per second that a cold upstream may get in addition to "
+        "`warm_up_factor`; the part of the limit above the configured rate is "
+        "a reserve for daemons that do not know of each other"},
 };
 
 }  // namespace
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -58,6 +58,8 @@
   kRelayPollAnswered,
   kRelayPollUnanswered,
   kRelayRoleChanged,
+  kUpstreamCold,
+  kWarmUpRefused,
   kCount,
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/configuration.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration.h
@@ -62,6 +62,13 @@
   Duration first_byte_delay{};
 };
 
+/// @brief Limits on the use of an upstream that is cold, since its process
+/// started a short time ago or for another reason.
+struct WarmUpSpec {
+  Duration time{};  ///< For which it is cold after a start.
+  double rate = 0;  ///< Requests per second that it can take while cold.
+};
+
 /// @brief A group of upstreams of one kind, or a cache store.
 struct Service {
   std::string name;
@@ -69,6 +76,7 @@
   std::uint32_t max_connections = 0;
   std::optional<EngineSpec> engine;
   std::optional<CacheStoreSpec> store;
+  std::optional<WarmUpSpec> warm_up;  ///< Absent if its upstreams have none.
 };
 
 /// @brief A workspace and the keys of its callers.
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -204,6 +204,22 @@
   std::size_t recent = 0;  ///< Peers seen recently, including dead ones.
 };
 
+/// The topic of daemon addresses was read.
+struct PeersListed {
+  struct Peer {
+    std::string daemon;
+    std::string zone;
+  };
+  std::vector<Peer> peers;  ///< Without this daemon.
+};
+
+/// A message of another daemon was received.
+struct PeerHeard {
+  std::string daemon;
+  std::string zone;
+  bool stopping = false;  ///< It was asked to stop.
+};
+
 /// A crash report was received from another daemon.
 struct CrashReportReceived {
   CrashReport report;
@@ -242,6 +258,8 @@
                            SharedClockRead,
                            PeerLoadReceived,
                            PeerCountsChanged,
+                           PeersListed,
+                           PeerHeard,
                            CrashReportReceived,
                            PartVerdictReceived,
                            TimerFired>;
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -88,6 +88,13 @@
   /// times `overload_factor` by more than `overload_margin` requests.
   double overload_factor = 1.3;
   double overload_margin = 3;
+
+  std::string daemon;  ///< Name of this daemon.
+
+  /// Requests per second that a cold upstream may get from the whole fleet:
+  /// `warm_up_factor` times `WarmUpSpec::rate`, plus `warm_up_slack`.
+  double warm_up_factor = 1;
+  double warm_up_slack = 0;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/placement.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/placement.h
@@ -44,11 +44,18 @@
                          const Request& request,
                          MonotonicTime now);
 
-/// @return if all upstreams that can run the request asked for no requests for
-/// some time, when the first of these times ends
-std::optional<MonotonicTime> PauseEnd(State& state,
-                                      const Request& request,
-                                      MonotonicTime now);
+/// @brief All upstreams that can run a request get none for some time.
+struct Unavailability {
+  MonotonicTime until{};  ///< When the first of these times ends.
+  /// Whether one of the upstreams is cold and has no room. Otherwise all of
+  /// them asked for no requests.
+  bool warming_up = false;
+};
+
+/// @return nothing if an upstream that can run the request may get it now
+std::optional<Unavailability> FindUnavailability(State& state,
+                                                 const Request& request,
+                                                 MonotonicTime now);
 
 }  // namespace jasminehatch::forwarding
 
--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -35,6 +35,9 @@
   /// @param workspace name; empty for requests without a workspace
   std::string CacheScope(const std::string& workspace) const;
 
+  /// @return whether upstreams of any service have a warm-up
+  bool HasWarmUp() const { return m_has_warm_up; }
+
   /// @return the service, or null
   const Service* FindService(std::string_view name) const;
 
@@ -46,6 +49,7 @@
   std::unordered_map<std::string, std::size_t> m_services;
   std::unordered_set<std::string> m_sharing_workspaces;  ///< Names.
   std::string m_shared_scope;
+  bool m_has_warm_up = false;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -17,6 +17,7 @@
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
+#include "jasminehatch/detail/forwarding/fleet_members.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
 #include "jasminehatch/detail/forwarding/request.h"
@@ -24,6 +25,7 @@
 #include "jasminehatch/detail/forwarding/route_table.h"
 #include "jasminehatch/detail/forwarding/shared_clock.h"
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
+#include "jasminehatch/detail/forwarding/warm_up_limiter.h"
 
 namespace jasminehatch::forwarding {
 
@@ -48,6 +50,8 @@
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
   std::uint64_t next_attempt = 1;
+  FleetMembers members;
+  WarmUpLimiter warm_ups;
 
   /// @return when the next `TimerFired` is due, if any
   std::optional<MonotonicTime> NextTimer() const {
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_FORWARDING_UPSTREAM_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,9 +10,14 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/warm_up_state.h"
 
 namespace jasminehatch::forwarding {
 
+/// A restarted upstream may serve requests for this long before this daemon
+/// reads its new registry entry.
+inline constexpr std::chrono::seconds kMaxRegistrationDelay{3};
+
 /// @brief What the responses of an upstream's process said about new requests.
 /// The registry may lag behind it.
 struct UpstreamNotice {
@@ -59,6 +65,7 @@
   /// Start of the first attempt since its last response, if any.
   std::optional<MonotonicTime> silent_since;
   double failure_share = 0;  ///< Moving average over the latest attempts.
+  WarmUpState warm_up;
 
   /// @return the estimated number of its requests, from the last report and
   /// this daemon's attempts since then
@@ -93,7 +100,10 @@
     load_since_report = 0;
   }
 
-  void OnResponse() { silent_since.reset(); }
+  void OnResponse(MonotonicTime now) {
+    silent_since.reset();
+    warm_up.OnContact(now);
+  }
 
   /// Records an attempt that the upstream completed.
   void RecordSuccess();
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -28,7 +28,10 @@
     bool publish_time_known = true;
   };
 
-  void Register(const UpstreamEntry& entry, MonotonicTime now);
+  /// @param just_written false for an entry of a snapshot, whose age is unknown
+  void Register(const UpstreamEntry& entry,
+                MonotonicTime now,
+                bool just_written = true);
 
   /// Removes an upstream; shortly after an outage of the registry, it stays in
   /// use until the grace period has passed.
--- a/packages/core/include/jasminehatch/detail/relay/record_mirror.h
+++ b/packages/core/include/jasminehatch/detail/relay/record_mirror.h
@@ -19,7 +19,8 @@
 /// the topic up to an earlier offset.
 ///
 /// A record that only renews its key is not relayed: most records of a registry
-/// are heartbeats.
+/// are heartbeats. It replaces the value of the record before it, with which
+/// the next one is compared.
 class RecordMirror {
  public:
   /// @return whether the second value of a key only renews the first
@@ -37,6 +38,11 @@
   /// Replaces everything by a snapshot of the topic.
   void Reset(std::span<const Record> records, std::uint64_t end);
 
+  /// Declares that the records so far were relayed without renewals, so that
+  /// the newest values of their keys are not known. The next record of each key
+  /// counts as a change.
+  void ExpectChanges() { m_values_known_from = m_end; }
+
   /// Adds the next record.
   void Add(const Record& record);
 
@@ -60,6 +66,8 @@
   std::size_t m_removed = 0;          ///< Removals in `m_by_offset`.
   std::uint64_t m_complete_from = 0;  ///< Earlier removals are not known.
   std::uint64_t m_end = 0;
+  /// Records before this offset may have had renewals that are not known.
+  std::uint64_t m_values_known_from = 0;
 };
 
 }  // namespace jasminehatch::relay
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -48,6 +48,8 @@
     "relay_poll_answered",
     "relay_poll_unanswered",
     "relay_role_changed",
+    "upstream_cold",
+    "warm_up_refused",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
 
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -99,7 +99,14 @@
     return;
   }
   const Placement placement = ChooseUpstream(m_state, request, m_now);
-  if (placement.upstream == nullptr && PauseEnd(m_state, request, m_now)) {
+  const auto unavailable = placement.upstream == nullptr
+                               ? FindUnavailability(m_state, request, m_now)
+                               : std::nullopt;
+  if (unavailable && unavailable->warming_up) {
+    RefuseForWarmUp(request);
+    return;
+  }
+  if (unavailable) {
     Refuse(request, RefusalCode::kOverloaded,
            "all upstreams of service " + request.service +
                " asked for no requests for some time");
@@ -177,6 +184,7 @@
   request.attempt =
       Request::Attempt{id, upstream.entry.id, AttemptTimeoutAt(request)};
   upstream.OnAttemptStarted(request.expected_tokens, m_now);
+  RecordColdSend(upstream);
   StartAttempt start;
   start.request = request.arrival.request;
   start.attempt = id;
@@ -302,7 +310,7 @@
     return;
   }
   if (Upstream* upstream = m_state.upstreams.Find(request->attempt->upstream)) {
-    upstream->OnResponse();
+    upstream->OnResponse(m_now);
   }
   request->response_started = true;
   request->attempt->response_started = true;
@@ -341,7 +349,7 @@
     return;
   }
   if (IsResponse(event.outcome)) {
-    upstream->OnResponse();
+    upstream->OnResponse(m_now);
   }
   if (event.outcome == AttemptOutcome::kBroken) {
     const CrashReport report = MakeCrashReport(request, event, *upstream);
@@ -361,6 +369,8 @@
       upstream->paused_until = m_now + PauseAfterRejection(request, *upstream);
       return;
     case AttemptOutcome::kNotSent:
+      DoubtWarmth(*upstream);
+      [[fallthrough]];
     case AttemptOutcome::kWrongUpstream:
       upstream->RecordFailure(/*unreachable=*/true, m_now, m_state.options);
       return;
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -6,6 +6,7 @@
 
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
+#include "jasminehatch/detail/forwarding/warm_up.h"
 
 namespace jasminehatch::forwarding {
 namespace {
@@ -47,7 +48,8 @@
         m_request(request),
         m_now(now),
         m_version_limits(LimitsFor(state, request, now)),
-        m_has_peer_reports(state.fleet.HasRecentReports(now)) {
+        m_has_peer_reports(state.fleet.HasRecentReports(now)),
+        m_warm_up(FindWarmUp(state, request.service)) {
     const Service* service =
         request.table ? request.table->FindService(request.service) : nullptr;
     if (service != nullptr && service->engine && request.arrival.prompt) {
@@ -87,20 +89,25 @@
     return placement;
   }
 
-  std::optional<MonotonicTime> PauseEnd() const {
-    std::optional<MonotonicTime> end;
+  std::optional<Unavailability> FindUnavailability() const {
+    std::optional<Unavailability> found;
     for (const Upstream* upstream :
          m_state.upstreams.OfService(m_request.service)) {
       if (!CanRun(*upstream)) {
         continue;
       }
-      if (!upstream->notice.PausesAt(m_now)) {
+      const auto cold = ColdUseOf(*upstream);
+      const MonotonicTime until =
+          std::max(upstream->notice.pause_until.value_or(m_now),
+                   cold ? cold->room_at : m_now);
+      if (until <= m_now) {
         return std::nullopt;
       }
-      const MonotonicTime upstream_end = *upstream->notice.pause_until;
-      end = std::min(end.value_or(upstream_end), upstream_end);
+      found = found.value_or(Unavailability{until});
+      found->until = std::min(found->until, until);
+      found->warming_up = found->warming_up || (cold && cold->room_at > m_now);
     }
-    return end;
+    return found;
   }
 
  private:
@@ -144,6 +151,9 @@
           static_cast<double>(tokens) / m_engine_memory_tokens;
       candidate.load = std::max(candidate.load, candidate.memory_share);
     }
+    if (const auto cold = ColdUseOf(upstream)) {
+      candidate.load = ColdLoad(candidate.load, *cold, *m_warm_up, m_now);
+    }
     candidate.load += kFailurePenalty * upstream.failure_share;
     if (m_version_limits.favored_version > 0 &&
         upstream.WeightVersion(m_request.arrival.prompt->model) <
@@ -170,12 +180,25 @@
            (upstream.paused_until && m_now < *upstream.paused_until);
   }
 
+  std::optional<ColdUse> ColdUseOf(const Upstream& upstream) const {
+    return m_warm_up == nullptr
+               ? std::nullopt
+               : DescribeColdUse(m_state, upstream, *m_warm_up, m_now);
+  }
+
+  /// @return whether the upstream is cold and gets no more requests of this
+  /// daemon for now
+  bool IsColdWithoutRoom(const Upstream& upstream) const {
+    const auto cold = ColdUseOf(upstream);
+    return cold && cold->room_at > m_now;
+  }
+
   bool IsEligible(const Upstream& upstream) const {
     const auto& tried = m_request.tried_upstreams;
     return !upstream.notice.PausesAt(m_now) &&
            std::find(tried.begin(), tried.end(), upstream.entry.id) ==
                tried.end() &&
-           CanRun(upstream);
+           CanRun(upstream) && !IsColdWithoutRoom(upstream);
   }
 
   /// @return whether the upstream could run the request if it accepted it
@@ -270,6 +293,7 @@
   MonotonicTime m_now;
   VersionLimits m_version_limits;
   bool m_has_peer_reports;
+  const WarmUpSpec* m_warm_up;  ///< Null if the upstreams have none.
   /// Memory of each engine, in tokens; 0 if unknown or for requests without a
   /// prompt.
   double m_engine_memory_tokens = 0;
@@ -284,10 +308,10 @@
   return UpstreamChooser(state, request, now).Choose();
 }
 
-std::optional<MonotonicTime> PauseEnd(State& state,
-                                      const Request& request,
-                                      MonotonicTime now) {
-  return UpstreamChooser(state, request, now).PauseEnd();
+std::optional<Unavailability> FindUnavailability(State& state,
+                                                 const Request& request,
+                                                 MonotonicTime now) {
+  return UpstreamChooser(state, request, now).FindUnavailability();
 }
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -35,12 +35,14 @@
   }
   void Apply(const UpstreamRegistered& event) {
     m_state.upstreams.Register(event.entry, m_now);
+    ReportIfCold(event.entry.id);
   }
   void Apply(const UpstreamRemoved& event) {
     m_state.upstreams.Remove(event.id, m_now);
   }
   void Apply(const UpstreamsListed& event) {
     m_state.upstreams.ReplaceAll(event.entries, m_now);
+    ReportColdUpstreams();
   }
   void Apply(const RegistryRecovered& /*event*/) {
     m_state.upstreams.OnRegistryRecovered(m_now, m_state.options);
@@ -87,6 +89,15 @@
     m_state.retries.SetDaemons(event.recent + 1);
     m_state.part_suspects.SetDaemons(event.recent + 1);
   }
+  void Apply(const PeersListed& event) {
+    for (const PeersListed::Peer& peer : event.peers) {
+      m_state.members.OnListed(peer.daemon, peer.zone, m_now);
+    }
+    m_state.members.OnListRead(m_now);
+  }
+  void Apply(const PeerHeard& event) {
+    m_state.members.OnHeard(event.daemon, event.zone, event.stopping, m_now);
+  }
   void Apply(const CrashReportReceived& event) { RecordCrash(event.report); }
   void Apply(const PartVerdictReceived& event) {
     m_state.part_suspects.Merge(event.verdict, m_now);
@@ -161,6 +172,21 @@
   /// @return whether a further attempt was started
   bool Retry(Request& request, Counter reason, const std::string& detail);
   void Refuse(Request& request, RefusalCode code, std::string detail);
+  /// Refuses a request since all upstreams that can run it are cold and this
+  /// daemon may send them none for now.
+  void RefuseForWarmUp(Request& request);
+  /// Counts an attempt against this daemon's share if the upstream is cold.
+  void RecordColdSend(const Upstream& upstream);
+  /// Treats an upstream that could not be reached as if it had restarted.
+  void DoubtWarmth(Upstream& upstream);
+  /// Counts and logs an upstream that has become cold.
+  void ReportIfCold(Upstream& upstream);
+  void ReportIfCold(const std::string& id) {
+    if (Upstream* upstream = m_state.upstreams.Find(id)) {
+      ReportIfCold(*upstream);
+    }
+  }
+  void ReportColdUpstreams();
   void SetTimer(Request& request);
   void Erase(Request& request);
   Duration RetryAfter(const Request& request) const;
--- a/packages/core/src/forwarding/route_table.cc
+++ b/packages/core/src/forwarding/route_table.cc
@@ -61,7 +61,9 @@
   }
   m_shared_scope = SharedScope(private_workspaces);
   for (std::size_t i = 0; i < m_configuration.services.size(); ++i) {
-    m_services.emplace(m_configuration.services[i].name, i);
+    const Service& service = m_configuration.services[i];
+    m_services.emplace(service.name, i);
+    m_has_warm_up = m_has_warm_up || service.warm_up.has_value();
   }
 }
 
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -55,6 +55,7 @@
   }
   m_state.table = std::make_shared<const RouteTable>(event.configuration);
   m_state.stores.Configure(event.configuration.services);
+  ReportColdUpstreams();
 }
 
 void Reducer::Apply(const RequestReceived& event) {
@@ -245,8 +246,9 @@
   const auto permille =
       static_cast<Duration::rep>(request.arrival.random % 1000);
   const Duration jitter(base.count() / 1000 * permille);
-  const auto pause_end = PauseEnd(m_state, request, m_now);
-  return std::max(base, pause_end.value_or(m_now) - m_now) + jitter;
+  const auto unavailable = FindUnavailability(m_state, request, m_now);
+  return std::max(base, unavailable ? unavailable->until - m_now : base) +
+         jitter;
 }
 
 void Reducer::Refuse(Request& request, RefusalCode code, std::string detail) {
--- a/packages/core/src/forwarding/upstream.cc
+++ b/packages/core/src/forwarding/upstream.cc
@@ -15,10 +15,6 @@
 /// A sound upstream may be silent for about a second.
 constexpr std::chrono::milliseconds kMaxSoundSilence{1500};
 
-/// A restarted upstream may serve requests for this long before this daemon
-/// reads its new registry entry.
-constexpr std::chrono::seconds kMaxRegistrationDelay{3};
-
 /// @return a share of failures with one more failure
 double AddFailure(double share) {
   return share * (1 - kFailureWeight) + kFailureWeight;
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -28,7 +28,8 @@
 }  // namespace
 
 void UpstreamDirectory::Register(const UpstreamEntry& entry,
-                                 MonotonicTime now) {
+                                 MonotonicTime now,
+                                 bool just_written) {
   if (Upstream* known = Find(entry.id)) {
     if (known->entry.started_at == entry.started_at &&
         known->entry.service == entry.service &&
@@ -37,6 +38,7 @@
       known->entry = entry;
       known->entry.weights = weights;
       known->removed_until.reset();
+      known->warm_up.OnEntry(entry.warm_up_left, just_written, now);
       for (const auto& [model, version] : entry.weights) {
         OnWeightsObserved({entry.id, model, version});
       }
@@ -48,6 +50,7 @@
   auto upstream = std::make_unique<Upstream>();
   upstream->entry = entry;
   upstream->notice = m_removed_notices.Take(entry.id, entry.started_at, now);
+  upstream->warm_up.OnEntry(entry.warm_up_left, just_written, now);
   m_by_service[entry.service].push_back(upstream.get());
   m_upstreams.emplace(entry.id, std::move(upstream));
 }
@@ -85,7 +88,7 @@
   std::set<std::string> listed;
   for (const UpstreamEntry& entry : entries) {
     listed.insert(entry.id);
-    Register(entry, now);
+    Register(entry, now, false);
   }
   std::vector<std::string> removed;
   for (const auto& [id, upstream] : m_upstreams) {
--- /dev/null
+++ b/packages/core/src/forwarding/warm_up.cc
@@ -0,0 +1,56 @@
+#include "jasminehatch/detail/forwarding/warm_up.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "jasminehatch/detail/forwarding/state.h"
+
+namespace jasminehatch::forwarding {
+namespace {
+
+/// Smallest share of its capacity at which a cold upstream is rated.
+constexpr double kMinWarmth = 0.2;
+
+/// Added to the relative load of an upstream that has just become cold. It is
+/// slow, so that it is used once the others are half full.
+constexpr double kColdPenalty = 0.5;
+
+}  // namespace
+
+const WarmUpSpec* FindWarmUp(const State& state, const std::string& service) {
+  const Service* found =
+      state.table ? state.table->FindService(service) : nullptr;
+  return found != nullptr && found->warm_up ? &*found->warm_up : nullptr;
+}
+
+std::optional<ColdUse> DescribeColdUse(State& state,
+                                       const Upstream& upstream,
+                                       const WarmUpSpec& spec,
+                                       MonotonicTime now) {
+  const auto cold_until = upstream.warm_up.ColdUntil(now);
+  if (!cold_until) {
+    return std::nullopt;
+  }
+  const std::string& id = upstream.entry.id;
+  ColdUse use;
+  use.cold_until = *cold_until;
+  use.share =
+      state.warm_ups.ShareOf(id, spec, state.members, state.options, now);
+  use.room_at =
+      std::min(*cold_until,
+               state.warm_ups.RoomAt(id, use.share, now).value_or(*cold_until));
+  return use;
+}
+
+double ColdLoad(double load,
+                const ColdUse& use,
+                const WarmUpSpec& spec,
+                MonotonicTime now) {
+  using Seconds = std::chrono::duration<double>;
+  const double left = Seconds(use.cold_until - now).count();
+  const double total = std::max(Seconds(spec.time).count(), left);
+  const double warmth = 1 - left / total;
+  return load / std::max(warmth, kMinWarmth) + kColdPenalty * (1 - warmth);
+}
+
+}  // namespace jasminehatch::forwarding
--- a/packages/core/src/relay/record_mirror.cc
+++ b/packages/core/src/relay/record_mirror.cc
@@ -17,6 +17,7 @@
   for (const Record& record : records) {
     Add(record);
   }
+  m_values_known_from = 0;
   // The snapshot does not tell which keys were removed before it.
   m_complete_from = end;
   m_end = end;
@@ -27,8 +28,10 @@
   if (known != m_offsets.end()) {
     const auto previous = m_by_offset.find(known->second);
     const bool renewal = !record.removed && !previous->second.removed &&
+                         previous->first >= m_values_known_from &&
                          m_is_renewal(previous->second.value, record.value);
     if (renewal) {
+      previous->second.value = record.value;
       return;
     }
     m_removed -= previous->second.removed ? 1 : 0;
--- a/packages/core/tests/relay_test.cc
+++ b/packages/core/tests/relay_test.cc
@@ -194,6 +194,37 @@
   CHECK(mirror.Since(10, 1000)->records == (std::vector{Put(10, "a", "1")}));
 }
 
+// Guards against a change that is not relayed because it was compared with an
+// older value than the one that it changed.
+TEST(Relay, TheMirrorComparesWithTheNewestValue) {
+  // A shorter value renews a longer one, like a time that is counted down.
+  RecordMirror mirror([](std::string_view before, std::string_view after) {
+    return after.size() <= before.size();
+  });
+  mirror.Reset({}, 0);
+  mirror.Add(Put(0, "a", "xxx"));
+  mirror.Add(Put(1, "a", "x"));
+  mirror.SetEnd(2);
+  CHECK(mirror.Since(0, 1000)->records == (std::vector{Put(0, "a", "x")}));
+  mirror.Add(Put(2, "a", "xx"));
+  mirror.SetEnd(3);
+  CHECK(mirror.Since(2, 1000)->records == (std::vector{Put(2, "a", "xx")}));
+}
+
+// Guards against a reader that was a follower, and compares with a value whose
+// renewals were not relayed to it.
+TEST(Relay, TheMirrorOfAFormerFollowerRelaysTheNextRecord) {
+  RecordMirror mirror(&IsSameText);
+  mirror.Reset({}, 0);
+  mirror.Add(Put(0, "a", "1"));
+  mirror.SetEnd(5);
+  mirror.ExpectChanges();
+  mirror.Add(Put(5, "a", "1"));
+  mirror.Add(Put(6, "a", "1"));
+  mirror.SetEnd(7);
+  CHECK(mirror.Since(5, 1000)->records == (std::vector{Put(5, "a", "1")}));
+}
+
 // Guards against a follower that misses a removal before the reader's snapshot,
 // or that goes back behind its own position.
 TEST(Relay, TheMirrorKnowsNoRemovalsBeforeItsSnapshot) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -163,6 +163,9 @@
   static bool IsLive(const Peer& peer, MonotonicTime now);
   void Register();
   void ReadPeers();
+  void ReadPeersAfter(std::chrono::milliseconds delay);
+  /// Repeats the read, and announces this daemon, if upstreams have a warm-up.
+  void OnPeersRead();
   void AddOrUpdatePeer(const std::string& name,
                        const std::string& address,
                        const std::string& zone,
@@ -204,6 +207,7 @@
   std::deque<PendingCrashReport> m_crash_reports;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_round = 0;
+  std::size_t m_list_repeats = 0;
   std::mt19937_64 m_random{std::random_device{}()};
   bool m_stop_announced = false;
   bool m_stopped = false;
--- a/packages/daemon/src/forwarder/forwarder_options.cc
+++ b/packages/daemon/src/forwarder/forwarder_options.cc
@@ -77,6 +77,9 @@
   options.prompt_placement = settings.prompt_placement;
   options.use_cache_stores = settings.use_cache_stores;
   options.limit_admission = settings.limit_admission;
+  options.daemon = settings.name;
+  options.warm_up_factor = settings.warm_up_factor;
+  options.warm_up_slack = settings.warm_up_slack;
   return options;
 }
 
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -67,6 +67,12 @@
 
 constexpr milliseconds kRegisterRetryDelay{1000};
 
+/// Where upstreams have a warm-up, a daemon reads the addresses again at these
+/// times after the read before, and sends a message to each daemon. It and
+/// others that start with it then know of each other before they send requests
+/// to cold upstreams.
+constexpr std::array kListRepeatDelays{milliseconds(1000), milliseconds(4000)};
+
 }  // namespace
 
 PeerGossip::PeerGossip(asio::io_context& loop,
@@ -153,19 +159,18 @@
           return;
         }
         if (page.status != platform::StorePage::Status::kRead) {
-          m_register_timer.expires_after(kRegisterRetryDelay);
-          m_register_timer.async_wait([this](const asio::error_code& error) {
-            if (!error) {
-              ReadPeers();
-            }
-          });
+          ReadPeersAfter(kRegisterRetryDelay);
           return;
         }
+        forwarding::PeersListed listed;
         for (const platform::StoreRecord& record : page.records) {
           try {
             const auto found = codec::DaemonAddress::Decode(record.value);
             AddOrUpdatePeer(record.key, found.address, found.zone,
                             found.incarnation);
+            if (record.key != m_options.daemon) {
+              listed.peers.push_back({record.key, found.zone});
+            }
           } catch (const CodecError& error) {
             const std::array fields{DecisionLogField{"daemon", record.key},
                                     DecisionLogField{"detail", error.what()}};
@@ -173,9 +178,41 @@
                         fields);
           }
         }
+        m_host.Apply(listed);
+        OnPeersRead();
       });
 }
 
+void PeerGossip::ReadPeersAfter(milliseconds delay) {
+  m_register_timer.expires_after(delay);
+  m_register_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      ReadPeers();
+    }
+  });
+}
+
+void PeerGossip::OnPeersRead() {
+  if (m_list_repeats > 0) {
+    std::vector<const Peer*> peers;
+    for (const auto& [name, peer] : m_peers) {
+      peers.push_back(&peer);
+    }
+    codec::GossipMessage message = MakeMessage();
+    SendTo(peers, message);
+  }
+  if (m_list_repeats == kListRepeatDelays.size()) {
+    return;
+  }
+  m_register_timer.expires_after(kListRepeatDelays.at(m_list_repeats++));
+  m_register_timer.async_wait([this](const asio::error_code& error) {
+    const auto& table = m_host.State().table;
+    if (!error && table && table->HasWarmUp()) {
+      ReadPeers();
+    }
+  });
+}
+
 void PeerGossip::AddOrUpdatePeer(const std::string& name,
                                  const std::string& address,
                                  const std::string& zone,
@@ -262,6 +299,8 @@
                     milliseconds(*message.freshness_proof_age_ms);
     m_on_peer_proof({message.operator_end_offset, at});
   }
+  m_host.Apply(
+      forwarding::PeerHeard{message.daemon, message.zone, message.stopping});
   m_host.Apply(forwarding::PeerLoadReceived{
       message.daemon, std::move(message.loads),
       message.covers_zone ? message.zone : std::string()});
--- a/packages/daemon/src/forwarder/topic_follower.cc
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -290,6 +290,9 @@
 }
 
 void TopicFollower::SetRole(relay::FeedRole role) {
+  if (m_role == relay::FeedRole::kFollower && role != m_role && m_mirror) {
+    m_mirror->ExpectChanges();
+  }
   m_role = role;
 }
 
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -3,12 +3,14 @@
 #include <jasminehatch/platform.h>
 #include <jasminehatch/telemetry.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
 #include "jasminehatch/detail/forwarder/peer_gossip.h"
@@ -53,7 +55,8 @@
   Node(GossipFixture& fixture,
        const std::string& name,
        const std::string& address,
-       std::uint64_t incarnation)
+       std::uint64_t incarnation,
+       const std::string& zone = "a")
       : host(fixture.loop,
              fixture.clock,
              fixture.client,
@@ -65,7 +68,7 @@
                fixture.store,
                host,
                fixture.log,
-               {name, "a", address, incarnation}) {
+               {name, zone, address, incarnation}) {
     gossip.Start();
   }
   ~Node() { gossip.Stop(); }
@@ -235,3 +238,42 @@
   CHECK(fixture.RunUntil(
       [&] { return left.host.State().part_suspects.Size() == 1; }));
 }
+
+// Guards against a daemon that shares the rate of cold upstreams without
+// knowing of daemons that start at the same time.
+TEST(PeerGossip, DaemonsKnowWhoElseMaySend) {
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  const auto knows_other = [&](const Node& node) {
+    const forwarding::FleetMembers& members = node.host.State().members;
+    return members.Count() == 1 && members.IsSettled(fixture.clock.Now());
+  };
+  CHECK(fixture.RunUntil(
+      [&] { return knows_other(left) && knows_other(right); }));
+}
+
+// Guards against a large fleet in which a daemon that starts stays unknown to
+// those of other zones for long, since it sends to few of them.
+TEST(PeerGossip, AStartingDaemonAnnouncesItselfWhereUpstreamsHaveAWarmUp) {
+  GossipFixture fixture;
+  forwarding::Configuration configuration;
+  configuration.version = 1;
+  forwarding::Service service;
+  service.name = "s";
+  service.warm_up = forwarding::WarmUpSpec{20s, 8};
+  configuration.services = {service};
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int i = 0; i < 12; ++i) {
+    nodes.push_back(std::make_unique<Node>(
+        fixture, "d" + std::to_string(i),
+        fixture.loopback.NewUdpAddress(fixture.loop), 1, i == 11 ? "b" : "a"));
+    nodes.back()->host.Apply(forwarding::ConfigurationRead{configuration});
+  }
+  const auto know_all = [&] {
+    return std::all_of(nodes.begin(), nodes.end(), [](const auto& node) {
+      return node->host.State().members.Count() == 11;
+    });
+  };
+  CHECK(fixture.RunUntil(know_all));
+}
