--- a/packages/core/src/forwarding/warm_up.cc
+++ b/packages/core/src/forwarding/warm_up.cc
@@ -18,8 +18,10 @@
 }  // namespace
 
 const WarmUpSpec* FindWarmUp(const State& state, const std::string& service) {
-  const Service* found =
-      state.table ? state.table->FindService(service) : nullptr;
+  if (!state.table || !state.table->HasWarmUp()) {
+    return nullptr;
+  }
+  const Service* found = state.table->FindService(service);
   return found != nullptr && found->warm_up ? &*found->warm_up : nullptr;
 }
 
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -264,16 +264,21 @@
   service.warm_up = forwarding::WarmUpSpec{20s, 8};
   configuration.services = {service};
   std::vector<std::unique_ptr<Node>> nodes;
-  for (int i = 0; i < 12; ++i) {
-    nodes.push_back(std::make_unique<Node>(
-        fixture, "d" + std::to_string(i),
-        fixture.loopback.NewUdpAddress(fixture.loop), 1, i == 11 ? "b" : "a"));
-    nodes.back()->host.Apply(forwarding::ConfigurationRead{configuration});
-  }
-  const auto know_all = [&] {
-    return std::all_of(nodes.begin(), nodes.end(), [](const auto& node) {
-      return node->host.State().members.Count() == 11;
+  const auto start = [&](const std::string& zone) {
+    for (int i = 0; i < 20; ++i) {
+      nodes.push_back(std::make_unique<Node>(
+          fixture, zone + std::to_string(i),
+          fixture.loopback.NewUdpAddress(fixture.loop), 1, zone));
+      nodes.back()->host.Apply(forwarding::ConfigurationRead{configuration});
+    }
+  };
+  const auto know = [&](std::size_t others) {
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+      return node->host.State().members.Count() == others;
     });
   };
-  CHECK(fixture.RunUntil(know_all));
+  start("a");
+  CHECK(fixture.RunUntil([&] { return know(19); }));
+  start("b");
+  CHECK(fixture.RunUntil([&] { return know(39); }));
 }
