--- a/packages/core/tests/warm_up_property_test.cc
+++ b/packages/core/tests/warm_up_property_test.cc
@@ -44,9 +44,16 @@
       : m_scenario(scenario), m_random(seed) {
     for (std::size_t i = 0; i < scenario.daemons; ++i) {
       m_names.push_back("daemon-" + std::to_string(i));
+      m_daemons.push_back(Start(i));
     }
+    // A daemon has not read the addresses of those that registered after it,
+    // and may not have heard of each of them.
     for (std::size_t i = 0; i < scenario.daemons; ++i) {
-      m_daemons.push_back(Start(i));
+      for (std::size_t j = i + 1; j < scenario.daemons; ++j) {
+        if (!Chance(10)) {
+          Hear(i, j);
+        }
+      }
     }
     if (scenario.zones_cut) {
       CutZones();
--- a/packages/core/tests/warm_up_test.cc
+++ b/packages/core/tests/warm_up_test.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "forwarding_fixture.h"
 
@@ -252,6 +253,50 @@
   }
 }
 
+// Guards against shares that add up to more or less than the rate, also after
+// the fleet has changed.
+TEST(WarmUp, TheSharesOfTheFleetAddUpToTheRate) {
+  Options options;
+  options.warm_up_factor = 1.5;
+  options.warm_up_slack = 5;
+  for (const std::size_t daemons : {8U, 10U, 17U, 18U, 72U}) {
+    std::vector<FleetMembers> views(daemons);
+    std::vector<WarmUpLimiter> limiters(daemons);
+    const auto sum = [&](const std::string& upstream, std::size_t present,
+                         MonotonicTime now) {
+      std::size_t shares = 0;
+      for (std::size_t i = 0; i < present; ++i) {
+        options.daemon = "d" + std::to_string(i);
+        shares += limiters[i]
+                      .ShareOf(upstream, kSpec, views[i], options, now)
+                      .requests;
+      }
+      return shares;
+    };
+    MonotonicTime now{1h};
+    for (std::size_t i = 0; i < daemons; ++i) {
+      for (std::size_t j = 0; j < daemons; ++j) {
+        if (i != j) {
+          views[i].OnHeard("d" + std::to_string(j), "a",
+                           /*stopping=*/j + 1 == daemons, now);
+        }
+      }
+      views[i].OnListRead(now);
+    }
+    now += FleetMembers::kSettleTime;
+    const std::vector<std::string> upstreams{"u0", "u1", "u2", "u3", "u4"};
+    for (const std::string& upstream : upstreams) {
+      UNSIGNED_LONGS_EQUAL(17, sum(upstream, daemons, now));
+    }
+    now += FleetMembers::kStoppedSilenceLimit;
+    for (const std::string& upstream : upstreams) {
+      // Seven daemons share the rate as if they were eight.
+      const std::size_t left = sum(upstream, daemons - 1, now);
+      CHECK(daemons == 8 ? left >= 14 && left < 17 : left == 17);
+    }
+  }
+}
+
 // Guards against a configuration without a reserve in which the whole limit is
 // divided.
 TEST(WarmUp, AThirdOfTheLimitIsKeptAsAReserve) {
