--- a/packages/codec/tests/settings_test.cc
+++ b/packages/codec/tests/settings_test.cc
@@ -53,3 +53,20 @@
       DaemonSettings::Read(IniDocument::Parse(kGood, "d.ini"));
   STRCMP_EQUAL("entry-1", settings.name.c_str());
 }
+
+// Guards against a deployment without warm-up whose settings are refused, and
+// against a limit for cold upstreams that is not read.
+TEST(Settings, TheLimitForColdUpstreamsMayBeAbsent) {
+  const std::string required =
+      "[forwarder]\nname = n\nzone = z\naddress = 127.0.0.1:1\nready_address = "
+      "127.0.0.1:2\nstore_address = 127.0.0.1:3\n";
+  const auto read = [&](const std::string& keys) {
+    return ForwarderSettings::Read(IniDocument::Parse(required + keys, "f"));
+  };
+  DOUBLES_EQUAL(1, read("\n").warm_up_factor, 0);
+  DOUBLES_EQUAL(0, read("\n").warm_up_slack, 0);
+  const auto settings = read("warm_up_factor = 1.5\nwarm_up_slack = 5\n");
+  DOUBLES_EQUAL(1.5, settings.warm_up_factor, 0);
+  DOUBLES_EQUAL(5, settings.warm_up_slack, 0);
+  CHECK_THROWS(SettingsError, read("warm_up_factor = -1\n"));
+}
