--- a/packages/core/tests/warm_up_test.cc
+++ b/packages/core/tests/warm_up_test.cc
@@ -55,12 +55,7 @@
   /// Registers an upstream without a prompt.
   /// @return the effects
   Effects Register(const std::string& id, Duration left) {
-    UpstreamEntry entry;
-    entry.id = id;
-    entry.service = "desk";
-    entry.address = "10.0.0.1:80";
-    entry.zone = "a";
-    entry.slots = 8;
+    UpstreamEntry entry{id, "desk", "10.0.0.1:80", "a", 8};
     entry.warm_up_left = left;
     return Apply(UpstreamRegistered{entry});
   }
@@ -109,10 +104,9 @@
   CHECK(upstreams.Find("warm")->in_flight >= 20 - share);
   fixture.Wait(30s);
   fixture.Confirm();
-  fixture.Send("/once/");
-  fixture.Send("/once/");
-  fixture.Send("/once/");
-  fixture.Send("/once/");
+  for (int i = 0; i < 4; ++i) {
+    fixture.Send("/once/");
+  }
   CHECK(upstreams.Find("cold")->in_flight > share);
 }
 
@@ -227,12 +221,8 @@
   ForwardingFixture plain;
   ForwardingFixture with_times;
   for (int i = 0; i < 6; ++i) {
-    UpstreamEntry entry;
-    entry.id = "e" + std::to_string(i);
-    entry.service = i % 2 == 0 ? "engine" : "desk";
-    entry.address = "10.0.0.1:80";
-    entry.zone = i < 3 ? "a" : "b";
-    entry.slots = 8;
+    UpstreamEntry entry{"e" + std::to_string(i), i % 2 == 0 ? "engine" : "desk",
+                        "10.0.0.1:80", i < 3 ? "a" : "b", 8};
     entry.weights["m"] = 1;
     plain.Apply(UpstreamRegistered{entry});
     entry.warm_up_left = 30s;
