Announce a starting daemon also if its configuration is read late

The repeated reads of the addresses ended at the first one for which the daemon had no configuration yet.

--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -166,6 +166,9 @@
   void ReadPeersAfter(std::chrono::milliseconds delay);
   /// Repeats the read, and announces this daemon, if upstreams have a warm-up.
   void OnPeersRead();
+  /// Reads the addresses again if upstreams have a warm-up, as soon as the
+  /// configuration is known.
+  void RepeatReadAfter(std::chrono::milliseconds delay);
   void AddOrUpdatePeer(const std::string& name,
                        const std::string& address,
                        const std::string& zone,
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -204,10 +204,22 @@
   if (m_list_repeats == kListRepeatDelays.size()) {
     return;
   }
-  m_register_timer.expires_after(kListRepeatDelays.at(m_list_repeats++));
+  RepeatReadAfter(kListRepeatDelays.at(m_list_repeats++));
+}
+
+void PeerGossip::RepeatReadAfter(milliseconds delay) {
+  m_register_timer.expires_after(delay);
   m_register_timer.async_wait([this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
     const auto& table = m_host.State().table;
-    if (!error && table && table->HasWarmUp()) {
+    if (!table) {
+      // The configuration may be read later than the addresses.
+      RepeatReadAfter(kListRepeatDelays.front());
+      return;
+    }
+    if (table->HasWarmUp()) {
       ReadPeers();
     }
   });
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -253,32 +253,72 @@
       [&] { return knows_other(left) && knows_other(right); }));
 }
 
-// Guards against a large fleet in which a daemon that starts stays unknown to
-// those of other zones for long, since it sends to few of them.
-TEST(PeerGossip, AStartingDaemonAnnouncesItselfWhereUpstreamsHaveAWarmUp) {
-  GossipFixture fixture;
-  forwarding::Configuration configuration;
-  configuration.version = 1;
-  forwarding::Service service;
-  service.name = "s";
-  service.warm_up = forwarding::WarmUpSpec{20s, 8};
-  configuration.services = {service};
-  std::vector<std::unique_ptr<Node>> nodes;
-  const auto start = [&](const std::string& zone) {
-    for (int i = 0; i < 20; ++i) {
-      nodes.push_back(std::make_unique<Node>(
-          fixture, zone + std::to_string(i),
-          fixture.loopback.NewUdpAddress(fixture.loop), 1, zone));
-      nodes.back()->host.Apply(forwarding::ConfigurationRead{configuration});
+namespace {
+
+/// @brief Two zones of daemons, the second of which starts after the first one
+/// is complete.
+struct ZoneFixture : GossipFixture {
+  static constexpr int kZoneSize = 20;
+
+  ZoneFixture() {
+    forwarding::Service service;
+    service.name = "s";
+    service.warm_up = forwarding::WarmUpSpec{20s, 8};
+    configuration.version = 1;
+    configuration.services = {service};
+  }
+
+  /// Starts the daemons of a zone.
+  void Start(const std::string& zone) {
+    for (int i = 0; i < kZoneSize; ++i) {
+      nodes.push_back(std::make_unique<Node>(*this, zone + std::to_string(i),
+                                             loopback.NewUdpAddress(loop), 1,
+                                             zone));
     }
-  };
-  const auto know = [&](std::size_t others) {
+  }
+
+  /// Gives the configuration to the daemons of the zone that started last.
+  void Configure() {
+    std::for_each(nodes.end() - kZoneSize, nodes.end(), [&](const auto& node) {
+      node->host.Apply(forwarding::ConfigurationRead{configuration});
+    });
+  }
+
+  bool AllKnow(std::size_t others) const {
     return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
       return node->host.State().members.Count() == others;
     });
-  };
-  start("a");
-  CHECK(fixture.RunUntil([&] { return know(19); }));
-  start("b");
-  CHECK(fixture.RunUntil([&] { return know(39); }));
+  }
+
+  forwarding::Configuration configuration;
+  std::vector<std::unique_ptr<Node>> nodes;
+};
+
+}  // namespace
+
+// Guards against a large fleet in which a daemon that starts stays unknown to
+// those of other zones for long, since it sends to few of them.
+TEST(PeerGossip, AStartingDaemonAnnouncesItselfWhereUpstreamsHaveAWarmUp) {
+  ZoneFixture fixture;
+  fixture.Start("a");
+  fixture.Configure();
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(19); }));
+  fixture.Start("b");
+  fixture.Configure();
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(39); }));
+}
+
+// Guards against a daemon that announces itself to nobody because it read its
+// configuration later than the addresses.
+TEST(PeerGossip, AStartingDaemonAnnouncesItselfOnceItHasTheConfiguration) {
+  ZoneFixture fixture;
+  // Without the configuration, these do not read the addresses again.
+  fixture.Start("a");
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(19); }));
+  fixture.Start("b");
+  const MonotonicTime start = fixture.clock.Now();
+  CHECK(
+      fixture.RunUntil([&] { return fixture.clock.Now() - start >= 1500ms; }));
+  fixture.Configure();
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(39); }));
 }
