Give the end of the settle time as Retry-After of a starting daemon

A daemon that does not know the fleet yet named the end of the warm-up, although it may use the upstream within 3 s. The test fails without the change.

--- a/packages/core/include/jasminehatch/detail/forwarding/fleet_members.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/fleet_members.h
@@ -54,9 +54,17 @@
   /// the last second.
   void Refresh(MonotonicTime now);
 
+  /// @return when this daemon may count on its view; nothing before the list
+  /// was read
+  std::optional<MonotonicTime> SettledAt() const {
+    return m_list_read_at ? std::optional(*m_list_read_at + kSettleTime)
+                          : std::nullopt;
+  }
+
   /// @return whether the list was read at least `kSettleTime` ago
   bool IsSettled(MonotonicTime now) const {
-    return m_list_read_at && now - *m_list_read_at >= kSettleTime;
+    const auto settled_at = SettledAt();
+    return settled_at && now >= *settled_at;
   }
 
   /// @return the number of other daemons that may be sending
--- a/packages/core/src/forwarding/warm_up.cc
+++ b/packages/core/src/forwarding/warm_up.cc
@@ -38,9 +38,11 @@
   use.cold_until = *cold_until;
   use.share =
       state.warm_ups.ShareOf(id, spec, state.members, state.options, now);
-  use.room_at =
-      std::min(*cold_until,
-               state.warm_ups.RoomAt(id, use.share, now).value_or(*cold_until));
+  // Until the fleet is known, the share is none and says nothing of later.
+  const auto room_at = state.members.IsSettled(now)
+                           ? state.warm_ups.RoomAt(id, use.share, now)
+                           : state.members.SettledAt();
+  use.room_at = std::min(*cold_until, room_at.value_or(*cold_until));
   return use;
 }
 
--- a/packages/core/tests/warm_up_test.cc
+++ b/packages/core/tests/warm_up_test.cc
@@ -159,6 +159,19 @@
   CHECK(fixture.SendMany(5)["cold"] > 0);
 }
 
+// Guards against a daemon that has just started and sends callers away for the
+// whole warm-up, although it may use the upstream within seconds.
+TEST(WarmUp, ADaemonThatHasJustStartedAsksForARetryOnceItKnowsTheFleet) {
+  WarmUpFixture fixture(false);
+  fixture.Register("cold", 30s);
+  fixture.Apply(PeersListed{{{"d1", "a"}}});
+  fixture.Wait(1s);
+  fixture.Confirm();
+  const RefuseRequest refusal = OnlyRefusal(fixture.Send("/once/"));
+  CHECK(*refusal.retry_after >= 2s);
+  CHECK(*refusal.retry_after <= 2250ms);
+}
+
 // Guards against an upstream that restarted under its id and is not yet in the
 // registry again.
 TEST(WarmUp, AnUnreachableUpstreamCountsAsColdUntilTheRegistrySaysOtherwise) {
