--- a/packages/codec/src/settings/forwarder_settings.cc
+++ b/packages/codec/src/settings/forwarder_settings.cc
@@ -235,6 +235,23 @@
                    "regions of the availability zones, as a list of "
                    "ZONE:REGION; may be empty. A zone without a region gets no "
                    "requests that are restricted to regions"},
+    ForwarderField{
+        "warm_up_factor",
+        [](const FieldReader& r, ForwarderSettings& s) {
+          s.warm_up_factor = r.Number(0, 1e6);
+        },
+        false, "1",
+        "requests per second that a cold upstream may get from all daemons, "
+        "as a multiple of the rate in the configuration"},
+    ForwarderField{
+        "warm_up_slack",
+        [](const FieldReader& r, ForwarderSettings& s) {
+          s.warm_up_slack = r.Number(0, 1e6);
+        },
+        false, "0",
+        "requests per second that a cold upstream may get in addition to "
+        "`warm_up_factor`; the part of the limit above the configured rate is "
+        "a reserve for daemons that do not know of each other"},
 };
 
 }  // namespace
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -66,6 +66,8 @@
   /// Requests refused because no upstream that could run them is in a region
   /// that they may use.
   kRefusedOutsideRegions,
+  kUpstreamCold,
+  kWarmUpRefused,
   kCount,
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -93,6 +93,12 @@
   /// Regions of the availability zones. A zone without an entry gets no request
   /// that is restricted to regions.
   ZoneRegions zone_regions;
+  std::string daemon;  ///< Name of this daemon.
+
+  /// Requests per second that a cold upstream may get from the whole fleet:
+  /// `warm_up_factor` times `WarmUpSpec::rate`, plus `warm_up_slack`.
+  double warm_up_factor = 1;
+  double warm_up_slack = 0;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -42,6 +42,8 @@
   /// @param workspace name; empty for requests without a workspace
   std::span<const std::string> WorkspaceRegions(
       const std::string& workspace) const;
+  /// @return whether upstreams of any service have a warm-up
+  bool HasWarmUp() const { return m_has_warm_up; }
 
   /// @return the service, or null
   const Service* FindService(std::string_view name) const;
@@ -56,6 +58,7 @@
   std::string m_shared_scope;
   /// Workspaces whose requests are restricted to regions, by name.
   std::unordered_map<std::string, std::size_t> m_restricted_workspaces;
+  bool m_has_warm_up = false;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -18,6 +18,7 @@
 #include "jasminehatch/detail/forwarding/evacuated_zones.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
+#include "jasminehatch/detail/forwarding/fleet_members.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
 #include "jasminehatch/detail/forwarding/request.h"
@@ -25,6 +26,7 @@
 #include "jasminehatch/detail/forwarding/route_table.h"
 #include "jasminehatch/detail/forwarding/shared_clock.h"
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
+#include "jasminehatch/detail/forwarding/warm_up_limiter.h"
 
 namespace jasminehatch::forwarding {
 
@@ -50,6 +52,8 @@
   RetryAllowance retries;
   EvacuatedZones evacuated_zones;
   std::uint64_t next_attempt = 1;
+  FleetMembers members;
+  WarmUpLimiter warm_ups;
 
   /// @return when the next `TimerFired` is due, if any
   std::optional<MonotonicTime> NextTimer() const {
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -52,6 +52,8 @@
     "zone_evacuation_ended",
     "refused_in_evacuated_zone",
     "refused_outside_regions",
+    "upstream_cold",
+    "warm_up_refused",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
 
--- /dev/null
+++ b/packages/core/src/forwarding/warm_up.cc
@@ -0,0 +1,60 @@
+#include "jasminehatch/detail/forwarding/warm_up.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "jasminehatch/detail/forwarding/state.h"
+
+namespace jasminehatch::forwarding {
+namespace {
+
+/// Smallest share of its capacity at which a cold upstream is rated.
+constexpr double kMinWarmth = 0.2;
+
+/// Added to the relative load of an upstream that has just become cold. It is
+/// slow, so that it is used once the others are half full.
+constexpr double kColdPenalty = 0.5;
+
+}  // namespace
+
+const WarmUpSpec* FindWarmUp(const State& state, const std::string& service) {
+  if (!state.table || !state.table->HasWarmUp()) {
+    return nullptr;
+  }
+  const Service* found = state.table->FindService(service);
+  return found != nullptr && found->warm_up ? &*found->warm_up : nullptr;
+}
+
+std::optional<ColdUse> DescribeColdUse(State& state,
+                                       const Upstream& upstream,
+                                       const WarmUpSpec& spec,
+                                       MonotonicTime now) {
+  const auto cold_until = upstream.warm_up.ColdUntil(now);
+  if (!cold_until) {
+    return std::nullopt;
+  }
+  const std::string& id = upstream.entry.id;
+  ColdUse use;
+  use.cold_until = *cold_until;
+  use.share =
+      state.warm_ups.ShareOf(id, spec, state.members, state.options, now);
+  // Until the fleet is known, the share is none and says nothing of later.
+  const auto room_at = state.members.IsSettled(now)
+                           ? state.warm_ups.RoomAt(id, use.share, now)
+                           : state.members.SettledAt();
+  use.room_at = std::min(*cold_until, room_at.value_or(*cold_until));
+  return use;
+}
+
+double ColdLoad(double load,
+                const ColdUse& use,
+                const WarmUpSpec& spec,
+                MonotonicTime now) {
+  using Seconds = std::chrono::duration<double>;
+  const double left = Seconds(use.cold_until - now).count();
+  const double total = std::max(Seconds(spec.time).count(), left);
+  const double warmth = 1 - left / total;
+  return load / std::max(warmth, kMinWarmth) + kColdPenalty * (1 - warmth);
+}
+
+}  // namespace jasminehatch::forwarding
--- a/packages/daemon/src/forwarder/forwarder_options.cc
+++ b/packages/daemon/src/forwarder/forwarder_options.cc
@@ -82,6 +82,10 @@
   if (!settings.region.empty()) {
     options.zone_regions.emplace(settings.zone, settings.region);
   }
+
+  options.daemon = settings.name;
+  options.warm_up_factor = settings.warm_up_factor;
+  options.warm_up_slack = settings.warm_up_slack;
   return options;
 }
 
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -3,12 +3,14 @@
 #include <jasminehatch/platform.h>
 #include <jasminehatch/telemetry.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
 #include "jasminehatch/detail/forwarder/peer_gossip.h"
@@ -53,7 +55,8 @@
   Node(GossipFixture& fixture,
        const std::string& name,
        const std::string& address,
-       std::uint64_t incarnation)
+       std::uint64_t incarnation,
+       const std::string& zone = "a")
       : host(fixture.loop,
              fixture.clock,
              fixture.client,
@@ -65,7 +68,7 @@
                fixture.store,
                host,
                fixture.log,
-               {name, "a", address, incarnation}) {
+               {name, zone, address, incarnation}) {
     gossip.Start();
   }
   ~Node() { gossip.Stop(); }
@@ -235,3 +238,87 @@
   CHECK(fixture.RunUntil(
       [&] { return left.host.State().part_suspects.Size() == 1; }));
 }
+
+// Guards against a daemon that shares the rate of cold upstreams without
+// knowing of daemons that start at the same time.
+TEST(PeerGossip, DaemonsKnowWhoElseMaySend) {
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  const auto knows_other = [&](const Node& node) {
+    const forwarding::FleetMembers& members = node.host.State().members;
+    return members.Count() == 1 && members.IsSettled(fixture.clock.Now());
+  };
+  CHECK(fixture.RunUntil(
+      [&] { return knows_other(left) && knows_other(right); }));
+}
+
+namespace {
+
+/// @brief Two zones of daemons, the second of which starts after the first one
+/// is complete.
+struct ZoneFixture : GossipFixture {
+  static constexpr int kZoneSize = 20;
+
+  ZoneFixture() {
+    forwarding::Service service;
+    service.name = "s";
+    service.warm_up = forwarding::WarmUpSpec{20s, 8};
+    configuration.version = 1;
+    configuration.services = {service};
+  }
+
+  /// Starts the daemons of a zone.
+  void Start(const std::string& zone) {
+    for (int i = 0; i < kZoneSize; ++i) {
+      nodes.push_back(std::make_unique<Node>(*this, zone + std::to_string(i),
+                                             loopback.NewUdpAddress(loop), 1,
+                                             zone));
+    }
+  }
+
+  /// Gives the configuration to the daemons of the zone that started last.
+  void Configure() {
+    std::for_each(nodes.end() - kZoneSize, nodes.end(), [&](const auto& node) {
+      node->host.Apply(forwarding::ConfigurationRead{configuration});
+    });
+  }
+
+  bool AllKnow(std::size_t others) const {
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+      return node->host.State().members.Count() == others;
+    });
+  }
+
+  forwarding::Configuration configuration;
+  std::vector<std::unique_ptr<Node>> nodes;
+};
+
+}  // namespace
+
+// Guards against a large fleet in which a daemon that starts stays unknown to
+// those of other zones for long, since it sends to few of them.
+TEST(PeerGossip, AStartingDaemonAnnouncesItselfWhereUpstreamsHaveAWarmUp) {
+  ZoneFixture fixture;
+  fixture.Start("a");
+  fixture.Configure();
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(19); }));
+  fixture.Start("b");
+  fixture.Configure();
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(39); }));
+}
+
+// Guards against a daemon that announces itself to nobody because it read its
+// configuration later than the addresses.
+TEST(PeerGossip, AStartingDaemonAnnouncesItselfOnceItHasTheConfiguration) {
+  ZoneFixture fixture;
+  // Without the configuration, these do not read the addresses again.
+  fixture.Start("a");
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(19); }));
+  fixture.Start("b");
+  const MonotonicTime start = fixture.clock.Now();
+  CHECK(
+      fixture.RunUntil([&] { return fixture.clock.Now() - start >= 1500ms; }));
+  fixture.Configure();
+  CHECK(fixture.RunUntil([&] { return fixture.AllKnow(39); }));
+}
