--- a/packages/core/include/jasminehatch/core.h
+++ b/packages/core/include/jasminehatch/core.h
@@ -44,6 +44,7 @@
 #include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/cache_use_window.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
+#include "jasminehatch/detail/forwarding/configuration_lag.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/effect.h"
 #include "jasminehatch/detail/forwarding/event.h"
--- /dev/null
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
@@ -0,0 +1,45 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDING_CONFIGURATION_LAG_H_
+#define JASMINEHATCH_DETAIL_FORWARDING_CONFIGURATION_LAG_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "jasminehatch/detail/base/time.h"
+
+namespace jasminehatch::forwarding {
+
+/// @brief Tells whether the operators have written records that this daemon has
+/// not read, as far as its peers have announced them. A daemon that is cut off
+/// from the store, or was suspended, may have to wait for them.
+class ConfigurationLag {
+ public:
+  /// A peer has read the operators' records up to this offset.
+  void OnAnnounced(std::uint64_t end_offset, MonotonicTime now) {
+    if (end_offset > m_announced_end) {
+      m_announced_end = end_offset;
+      m_announced_at = now;
+    }
+  }
+
+  /// This daemon has read all records up to this offset, and there were no more
+  /// at this time.
+  void OnConfirmed(std::uint64_t end_offset, MonotonicTime confirmed_at) {
+    m_read_end = std::max(m_read_end, end_offset);
+    // A store that has lost records may never reach the announced offset again.
+    if (confirmed_at > m_announced_at) {
+      m_announced_end = std::min(m_announced_end, m_read_end);
+    }
+  }
+
+  /// @return whether there are records that this daemon has not read
+  bool IsBehind() const { return m_announced_end > m_read_end; }
+
+ private:
+  std::uint64_t m_announced_end = 0;
+  MonotonicTime m_announced_at{};
+  std::uint64_t m_read_end = 0;
+};
+
+}  // namespace jasminehatch::forwarding
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDING_CONFIGURATION_LAG_H_
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -28,6 +28,13 @@
 /// A read that was sent at `sent_at` returned the newest configuration.
 struct ConfigurationConfirmed {
   MonotonicTime sent_at{};
+  /// Offset after the operators' last record.
+  std::uint64_t end_offset = 0;
+};
+
+/// A peer has read the operators' records up to this offset.
+struct OperatorRecordsAnnounced {
+  std::uint64_t end_offset = 0;
 };
 
 /// @brief An upstream's entry in the registry.
@@ -244,6 +251,7 @@
                            PeerCountsChanged,
                            CrashReportReceived,
                            PartVerdictReceived,
+                           OperatorRecordsAnnounced,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -35,6 +35,11 @@
   /// @param workspace name; empty for requests without a workspace
   std::string CacheScope(const std::string& workspace) const;
 
+  /// @return the scope that a workspace shares with no other
+  static std::string OwnCacheScope(const std::string& workspace) {
+    return "workspace:" + workspace;
+  }
+
   /// @return the service, or null
   const Service* FindService(std::string_view name) const;
 
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -14,6 +14,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_stores.h"
 #include "jasminehatch/detail/forwarding/cache_use_window.h"
+#include "jasminehatch/detail/forwarding/configuration_lag.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
@@ -36,6 +37,7 @@
   /// Freshness proof: when the latest read that returned the newest
   /// configuration was sent.
   std::optional<MonotonicTime> confirmed_at;
+  ConfigurationLag lag;
   std::optional<StopRequested> stop;  ///< Set while the daemon stops.
   UpstreamDirectory upstreams;
   CacheStores stores;
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -198,6 +198,16 @@
   m_effects.emplace_back(std::move(start));
 }
 
+std::string Reducer::CacheScope(const std::string& workspace) const {
+  const RouteTable& table = *m_state.table;
+  // A workspace may have become private in records that this daemon has yet to
+  // read. Its own scope is right in either case.
+  const bool may_share =
+      !m_state.lag.IsBehind() || table.SourceConfiguration().workspaces.empty();
+  return may_share ? table.CacheScope(workspace)
+                   : RouteTable::OwnCacheScope(workspace);
+}
+
 CachePlan Reducer::MakeCachePlan(const Request& request,
                                  const Placement& placement) {
   const Upstream& upstream = *placement.upstream;
@@ -206,9 +216,9 @@
   plan.expected_version = upstream.WeightVersion(model);
   // The scope follows the newest configuration, also for a request that was
   // admitted under an earlier one.
-  plan.salt = CacheSalt{model, plan.expected_version,
-                        m_state.table->CacheScope(request.workspace)}
-                  .ToString();
+  plan.salt =
+      CacheSalt{model, plan.expected_version, CacheScope(request.workspace)}
+          .ToString();
   PlanPartTransfers(request, placement, plan);
   return plan;
 }
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -32,6 +32,7 @@
       m_state.confirmed_at = event.sent_at;
     }
     m_state.cache_use.OnConfirmed(event.sent_at);
+    m_state.lag.OnConfirmed(event.end_offset, event.sent_at);
   }
   void Apply(const UpstreamRegistered& event) {
     m_state.upstreams.Register(event.entry, m_now);
@@ -92,6 +93,9 @@
     m_state.part_suspects.Merge(event.verdict, m_now);
     ReportPartVerdicts();
   }
+  void Apply(const OperatorRecordsAnnounced& event) {
+    m_state.lag.OnAnnounced(event.end_offset, m_now);
+  }
   void Apply(const TimerFired& event);
 
   Effects TakeEffects() { return std::move(m_effects); }
@@ -144,6 +148,8 @@
   bool TryProbe(const Request& request);
   void Dispatch(Request& request);
   void StartOn(Request& request, const Placement& placement);
+  /// @return the scope of the cache salts of a workspace's requests
+  std::string CacheScope(const std::string& workspace) const;
   CachePlan MakeCachePlan(const Request& request, const Placement& placement);
   void PlanPartTransfers(const Request& request,
                          const Placement& placement,
--- a/packages/core/src/forwarding/route_table.cc
+++ b/packages/core/src/forwarding/route_table.cc
@@ -92,7 +92,7 @@
 std::string RouteTable::CacheScope(const std::string& workspace) const {
   return workspace.empty() || m_sharing_workspaces.contains(workspace)
              ? m_shared_scope
-             : "workspace:" + workspace;
+             : OwnCacheScope(workspace);
 }
 
 const Service* RouteTable::FindService(std::string_view name) const {
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -309,7 +309,8 @@
     OnOperatorRecords(records, true);
   };
   callbacks.on_caught_up = [this](MonotonicTime sent_at) {
-    m_host.Apply(forwarding::ConfigurationConfirmed{sent_at});
+    m_host.Apply(forwarding::ConfigurationConfirmed{
+        sent_at, m_configuration.EndOffset().value_or(0)});
   };
   callbacks.on_unavailable = [this](const std::string& detail) {
     LogDependency("dependency_lost", "configuration", detail);
@@ -414,7 +415,8 @@
       [this](const PeerGossip::FreshnessProof& proof) {
         const auto end = m_configuration.EndOffset();
         if (end && proof.end_offset == *end) {
-          m_host.Apply(forwarding::ConfigurationConfirmed{proof.confirmed_at});
+          m_host.Apply(forwarding::ConfigurationConfirmed{proof.confirmed_at,
+                                                          proof.end_offset});
         } else if (end && proof.end_offset > *end) {
           m_configuration.ReadNow();
         }
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -251,6 +251,10 @@
   found->second.message_received = true;
   found->second.capacity = message.capacity;
   found->second.stopping = message.stopping;
+  if (message.freshness_proof_age_ms) {
+    m_host.Apply(
+        forwarding::OperatorRecordsAnnounced{message.operator_end_offset});
+  }
   if (m_on_peer_proof && message.freshness_proof_age_ms &&
       message.echo_ms > 0) {
     // The proof had this age when the peer sent the message. `echo_ms` is a
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
@@ -235,3 +236,29 @@
   CHECK(fixture.RunUntil(
       [&] { return left.host.State().part_suspects.Size() == 1; }));
 }
+
+// Guards against a daemon that is cut off from the store, and does not learn
+// from its peers that its configuration may be outdated.
+TEST(PeerGossip, APeerTellsOfRecordsThatWereNotRead) {
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  std::uint64_t end_offset = 7;
+  left.gossip.ShareFreshnessProofs(
+      [&] {
+        return std::optional(daemon::PeerGossip::FreshnessProof{
+            end_offset, fixture.clock.Now()});
+      },
+      [](const auto& /*proof*/) {});
+  std::size_t proofs = 0;
+  right.gossip.ShareFreshnessProofs([] { return std::nullopt; },
+                                    [&](const auto& /*proof*/) { ++proofs; });
+  right.host.Apply(forwarding::ConfigurationConfirmed{fixture.clock.Now(), 7});
+  const auto is_behind = [&] { return right.host.State().lag.IsBehind(); };
+  CHECK(fixture.RunUntil([&] { return proofs >= 2; }));
+  CHECK(!is_behind());
+  end_offset = 8;
+  CHECK(fixture.RunUntil(is_behind));
+  right.host.Apply(forwarding::ConfigurationConfirmed{fixture.clock.Now(), 8});
+  CHECK(!is_behind());
+}
