--- a/packages/core/tests/cache_scope_test.cc
+++ b/packages/core/tests/cache_scope_test.cc
@@ -392,6 +392,25 @@
   CHECK(shares());
 }
 
+// Guards against requests of public routes, which are served without a
+// freshness proof, that use the parts of a workspace that became private while
+// the daemon was cut off from the store and its peers.
+TEST(CacheScope, PublicRequestsShareNothingWithoutAFreshnessProof) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("e1", "engine", 1);
+  Configuration configuration = fixture.MakeConfiguration(2);
+  configuration.routes[2].is_public = true;
+  fixture.Apply(ConfigurationRead{configuration});
+  fixture.Confirm();
+  const std::string shared = SaltFor(fixture, "");
+  fixture.Wait(fixture.CurrentState().options.max_proof_age);
+  STRCMP_EQUAL(shared.c_str(), SaltFor(fixture, "").c_str());
+  fixture.Wait(1ms);
+  CHECK(SaltFor(fixture, "") != shared);
+  fixture.Confirm();
+  STRCMP_EQUAL(shared.c_str(), SaltFor(fixture, "").c_str());
+}
+
 // Guards against workspaces that find parts of a private one through a daemon
 // that has yet to read the newest configuration, for any sequence of
 // configurations.
