--- a/packages/emulator/src/engine_emulator.cc
+++ b/packages/emulator/src/engine_emulator.cc
@@ -14,13 +14,13 @@
 #include "jasminehatch/detail/hash/sha256.h"
 #include "jasminehatch/detail/http/response_writer.h"
 #include "jasminehatch/detail/json/upstream_report.h"
+#include "json_response.h"
 
 namespace jasminehatch::emulator {
 namespace {
 
 using nlohmann::json;
 
-const net::HttpHeaders kJsonHeaders{{"Content-Type", "application/json"}};
 const net::HttpHeaders kStreamHeaders{{"Content-Type", "text/event-stream"}};
 
 constexpr std::uint32_t kBytesPerToken = 4;
@@ -395,7 +395,7 @@
 void EngineEmulator::OnOrder(const std::string& body, const Writer& writer) {
   const json document = json::parse(body, nullptr, false);
   if (!document.is_object()) {
-    writer->Send(400, kJsonHeaders, R"({"error":"expected a JSON object"})");
+    writer->Send(400, kJsonHeaders, kExpectedObject);
     return;
   }
   const auto fencing = document.value("fencing", std::uint64_t{0});
@@ -453,7 +453,7 @@
 void EngineEmulator::OnFaults(const std::string& body, const Writer& writer) {
   const json document = json::parse(body, nullptr, false);
   if (!document.is_object()) {
-    writer->Send(400, kJsonHeaders, R"({"error":"expected a JSON object"})");
+    writer->Send(400, kJsonHeaders, kExpectedObject);
     return;
   }
   m_faults.break_share = document.value("break_share", m_faults.break_share);
--- a/packages/emulator/src/log_emulator.cc
+++ b/packages/emulator/src/log_emulator.cc
@@ -8,14 +8,13 @@
 #include <utility>
 
 #include "jasminehatch/detail/http/response_writer.h"
+#include "json_response.h"
 
 namespace jasminehatch::emulator {
 namespace {
 
 using nlohmann::json;
 
-const net::HttpHeaders kJsonHeaders{{"Content-Type", "application/json"}};
-
 std::uint64_t ReadNumber(std::string_view text, std::uint64_t fallback) {
   std::uint64_t value = 0;
   const auto [rest, error] =
@@ -177,7 +176,7 @@
 void LogEmulator::OnFaults(const std::string& body, const Writer& writer) {
   const json document = json::parse(body, nullptr, false);
   if (!document.is_object()) {
-    writer->Send(400, kJsonHeaders, R"({"error":"expected a JSON object"})");
+    writer->Send(400, kJsonHeaders, kExpectedObject);
     return;
   }
   m_faults.outage = document.value("outage", m_faults.outage);
--- a/packages/emulator/src/service_emulator.cc
+++ b/packages/emulator/src/service_emulator.cc
@@ -5,14 +5,13 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminehatch/detail/http/response_writer.h"
+#include "json_response.h"
 
 namespace jasminehatch::emulator {
 namespace {
 
 using nlohmann::json;
 
-const net::HttpHeaders kJsonHeaders{{"Content-Type", "application/json"}};
-
 }  // namespace
 
 ServiceEmulator::ServiceEmulator(asio::io_context& loop,
@@ -78,7 +77,7 @@
 void ServiceEmulator::OnFaults(const std::string& body, const Writer& writer) {
   const json document = json::parse(body, nullptr, false);
   if (!document.is_object()) {
-    writer->Send(400, kJsonHeaders, R"({"error":"expected a JSON object"})");
+    writer->Send(400, kJsonHeaders, kExpectedObject);
     return;
   }
   m_faults.lost_response_share =
--- a/packages/emulator/src/vm_list_emulator.cc
+++ b/packages/emulator/src/vm_list_emulator.cc
@@ -4,14 +4,13 @@
 #include <nlohmann/json.hpp>
 
 #include "jasminehatch/detail/http/response_writer.h"
+#include "json_response.h"
 
 namespace jasminehatch::emulator {
 namespace {
 
 using nlohmann::json;
 
-const net::HttpHeaders kJsonHeaders{{"Content-Type", "application/json"}};
-
 }  // namespace
 
 VmListEmulator::VmListEmulator(asio::io_context& loop,
