--- /dev/null
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
@@ -0,0 +1,67 @@
+#ifndef JASMINEHATCH_DETAIL_FORWARDER_LEASE_TOPIC_H_
+#define JASMINEHATCH_DETAIL_FORWARDER_LEASE_TOPIC_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/lease/event.h"
+
+namespace jasminehatch {
+class Clock;
+}
+
+namespace jasminehatch::platform {
+class StoreClient;
+struct StorePage;
+}  // namespace jasminehatch::platform
+
+namespace jasminehatch::telemetry {
+class DecisionLog;
+}
+
+namespace jasminehatch::daemon {
+
+/// @brief Reads and appends the lease records in the platform's store. Reads
+/// one page after another up to the end of the topic.
+class LeaseTopic {
+ public:
+  struct Callbacks {
+    /// Records in order. Offsets start at one, as the lease reducer counts
+    /// them.
+    std::function<void(const lease::LeaseRecordsRead&)> on_records;
+    std::function<void()> on_read_failed;
+    /// The append failed, its outcome is unknown, or another record precedes
+    /// it. The topic is read again afterwards.
+    std::function<void()> on_append_failed;
+  };
+
+  LeaseTopic(const Clock& clock,
+             platform::StoreClient& store,
+             telemetry::DecisionLog& log,
+             Callbacks callbacks);
+
+  /// Reads the records after those already read, unless a read is in progress.
+  void Read();
+
+  /// Appends a record, if it follows those already read.
+  void Append(const lease::LeaseRecord& record);
+
+  /// @return when the latest read was sent
+  MonotonicTime LastReadAt() const { return m_last_read_at; }
+
+ private:
+  void OnPage(const platform::StorePage& page);
+
+  const Clock& m_clock;
+  platform::StoreClient& m_store;
+  telemetry::DecisionLog& m_log;
+  Callbacks m_callbacks;
+  std::uint64_t m_next_offset = 0;
+  MonotonicTime m_last_read_at{};
+  bool m_read_pending = false;
+};
+
+}  // namespace jasminehatch::daemon
+
+#endif  // JASMINEHATCH_DETAIL_FORWARDER_LEASE_TOPIC_H_
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -13,12 +13,12 @@
 #include <utility>
 
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarder/lease_topic.h"
 #include "jasminehatch/detail/json/gossip_message.h"
 #include "jasminehatch/detail/lease/effect.h"
 #include "jasminehatch/detail/lease/event.h"
 #include "jasminehatch/detail/lease/state.h"
 #include "jasminehatch/detail/platform/engine_client.h"
-#include "jasminehatch/detail/platform/store_client.h"
 #include "jasminehatch/detail/relay/standby.h"
 #include "jasminehatch/detail/rollout/effect.h"
 #include "jasminehatch/detail/rollout/event.h"
@@ -32,6 +32,10 @@
 class Clock;
 }
 
+namespace jasminehatch::platform {
+class StoreClient;
+}
+
 namespace jasminehatch::telemetry {
 class DecisionLog;
 }
@@ -123,8 +127,7 @@
   void QueryEngine(const std::string& key, const Target& target);
   void OnReport(const std::string& key,
                 const std::optional<platform::EngineReport>& report);
-  void ReadLease();
-  void OnLeaseRecords(const platform::StorePage& page);
+  LeaseTopic::Callbacks LeaseTopicCallbacks();
   void StepLease(const lease::Event& event);
   void StepRollout(const rollout::Event& event);
   void WithdrawOrders();
@@ -141,12 +144,12 @@
   void ArmTimer();
 
   const Clock& m_clock;
-  platform::StoreClient& m_store;
   platform::EngineClient& m_engines;
   ForwardingHost& m_host;
   telemetry::DecisionLog& m_log;
   Options m_options;
   asio::steady_timer m_timer;
+  LeaseTopic m_lease_topic;
   lease::State m_lease;
   rollout::State m_rollout;
   std::map<std::string, Target> m_targets;  ///< By upstream and model.
@@ -156,11 +159,8 @@
   std::function<void(const codec::WeightsUpdate&)> m_on_update;
   relay::Standby m_standby;
   std::size_t m_outdated = 0;  ///< Targets with older weights.
-  std::uint64_t m_next_offset = 0;
-  MonotonicTime m_last_lease_read_at{};
   MonotonicTime m_earliest_claim_at{};
   MonotonicTime m_release_until{};
-  bool m_lease_read_pending = false;
   bool m_active = false;
   bool m_timer_armed = false;
   bool m_stopped = false;
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -7,9 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "jasminehatch/codec.h"
 #include "jasminehatch/detail/base/clock.h"
-#include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
 #include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/lease/step.h"
@@ -117,12 +115,12 @@
                                telemetry::DecisionLog& log,
                                const Options& options)
     : m_clock(clock),
-      m_store(store),
       m_engines(engines),
       m_host(host),
       m_log(log),
       m_options(options),
       m_timer(loop),
+      m_lease_topic(clock, store, log, LeaseTopicCallbacks()),
       m_standby(options.daemon, options.standby_patience) {
   m_lease.self = {options.daemon, options.incarnation};
   // A new holder sends its first order at least one lease time after the last
@@ -140,7 +138,19 @@
 }
 
 void WeightsRollout::Start() {
-  ReadLease();
+  m_lease_topic.Read();
+}
+
+LeaseTopic::Callbacks WeightsRollout::LeaseTopicCallbacks() {
+  LeaseTopic::Callbacks callbacks;
+  callbacks.on_records = [this](const lease::LeaseRecordsRead& read) {
+    StepLease(read);
+  };
+  callbacks.on_read_failed = [this] { m_lease.reading = false; };
+  callbacks.on_append_failed = [this] {
+    StepLease(lease::AppendFailed{kLeaseGroup});
+  };
+  return callbacks;
 }
 
 std::map<std::string, WeightsRollout::Target> WeightsRollout::CollectTargets()
@@ -209,7 +219,7 @@
   m_earliest_claim_at = m_clock.Now() + kClaimStagger * slot;
   m_log.Write(DecisionLog::Level::kState, "rollout_pending", {});
   if (m_standby.TakesPart(m_clock.Now())) {
-    ReadLease();
+    m_lease_topic.Read();
   }
   ArmTimer();
 }
@@ -321,8 +331,8 @@
     ArmTimer();
     return;
   }
-  if (!is_holder && now - m_last_lease_read_at >= kLeaseReadInterval) {
-    ReadLease();
+  if (!is_holder && now - m_lease_topic.LastReadAt() >= kLeaseReadInterval) {
+    m_lease_topic.Read();
   }
   if (now >= m_earliest_claim_at && m_lease.read_to_end_at) {
     StepLease(lease::LeaseWanted{kLeaseGroup, true});
@@ -385,47 +395,6 @@
   }
 }
 
-void WeightsRollout::ReadLease() {
-  if (std::exchange(m_lease_read_pending, true)) {
-    return;
-  }
-  m_last_lease_read_at = m_clock.Now();
-  m_store.Read(platform::kLeaseTopic, m_next_offset, milliseconds(0),
-               [this](const platform::StorePage& page) {
-                 m_lease_read_pending = false;
-                 OnLeaseRecords(page);
-               });
-}
-
-void WeightsRollout::OnLeaseRecords(const platform::StorePage& page) {
-  if (page.status == platform::StorePage::Status::kCompacted) {
-    m_next_offset = page.first;
-    ReadLease();
-    return;
-  }
-  if (page.status == platform::StorePage::Status::kFailed) {
-    m_lease.reading = false;
-    return;
-  }
-  lease::LeaseRecordsRead read;
-  for (const platform::StoreRecord& record : page.records) {
-    m_next_offset = record.offset + 1;
-    try {
-      // Offsets of the lease reducer start at one.
-      read.records.push_back(
-          {record.offset + 1, codec::DecodeLease(record.value)});
-    } catch (const CodecError& error) {
-      const std::array fields{DecisionLogField{"detail", error.what()}};
-      m_log.Write(DecisionLog::Level::kState, "lease_record_invalid", fields);
-    }
-  }
-  read.at_end = m_next_offset >= page.end;
-  StepLease(read);
-  if (!read.at_end) {
-    ReadLease();
-  }
-}
-
 void WeightsRollout::StepLease(const lease::Event& event) {
   for (const auto& effect : lease::Step(event, m_clock.Now(), m_lease)) {
     std::visit([this](const auto& body) { Execute(body); }, effect);
@@ -455,27 +424,11 @@
   if (effect.record.release) {
     m_log.Write(DecisionLog::Level::kState, "rollout_lease_released", {});
   }
-  const std::uint64_t at = m_next_offset;
-  m_store.Append(platform::kLeaseTopic, codec::EncodeLease(effect.record), at,
-                 [this, record = effect.record,
-                  at](const platform::StoreAppendResult& outcome) {
-                   using Status = platform::StoreAppendResult::Status;
-                   if (outcome.status == Status::kAppended &&
-                       outcome.offset == at && m_next_offset == at) {
-                     m_next_offset = at + 1;
-                     lease::LeaseRecordsRead read;
-                     read.records.push_back({at + 1, record});
-                     read.at_end = true;
-                     StepLease(read);
-                     return;
-                   }
-                   StepLease(lease::AppendFailed{kLeaseGroup});
-                   ReadLease();
-                 });
+  m_lease_topic.Append(effect.record);
 }
 
 void WeightsRollout::Execute(const lease::ReadLeaseStream& /*effect*/) {
-  ReadLease();
+  m_lease_topic.Read();
 }
 
 void WeightsRollout::Execute(const lease::HolderChanged& effect) {
@@ -568,7 +521,7 @@
       Update();
       return;
     case platform::OrderResult::kFenced:
-      ReadLease();
+      m_lease_topic.Read();
       return;
     case platform::OrderResult::kInvalid:
     case platform::OrderResult::kWrongUpstream:
