--- a/packages/net/src/http/http_client.cc
+++ b/packages/net/src/http/http_client.cc
@@ -2,7 +2,6 @@
 
 #include <curl/curl.h>
 
-#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -12,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "http_transfer.h"
 #include "jasminehatch/detail/base/exception.h"
 
 namespace jasminehatch::net {
@@ -27,108 +27,6 @@
   CurlGlobal& operator=(const CurlGlobal&) = delete;
 };
 
-struct EasyDeleter {
-  void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
-};
-
-struct ListDeleter {
-  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
-};
-
-/// One call in progress.
-struct Transfer {
-  HttpClient::CallId id = 0;
-  std::unique_ptr<CURL, EasyDeleter> easy;
-  std::unique_ptr<curl_slist, ListDeleter> headers;
-  HttpCall call;
-  HttpResult result;
-  HttpClient::DoneCallback on_done;
-  HttpClient::DataCallback on_data;
-  std::size_t head_bytes = 0;  ///< With informational responses and trailers.
-  bool head_complete = false;  ///< Of the newest status line.
-  bool too_large = false;
-  bool cancelled = false;
-};
-
-/// What a callback of libcurl returns to break off a call.
-constexpr std::size_t kBreakOff = 0;
-
-std::size_t OnBody(char* data,
-                   std::size_t /*size*/,
-                   std::size_t length,
-                   void* user) {
-  auto& transfer = *static_cast<Transfer*>(user);
-  if (transfer.cancelled) {
-    return length;
-  }
-  long status = 0;
-  curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-  if (transfer.on_data && status >= 200 && status < 300) {
-    transfer.on_data(std::string_view(data, length));
-    return length;
-  }
-  if (transfer.result.body.size() + length > transfer.call.max_body_bytes) {
-    transfer.too_large = true;
-    return kBreakOff;
-  }
-  transfer.result.body.append(data, length);
-  return length;
-}
-
-std::size_t OnHeader(char* data,
-                     std::size_t /*size*/,
-                     std::size_t length,
-                     void* user) {
-  auto& transfer = *static_cast<Transfer*>(user);
-  transfer.head_bytes += length;
-  if (transfer.head_bytes > transfer.call.max_head_bytes) {
-    transfer.too_large = true;
-    return kBreakOff;
-  }
-  std::string_view line(data, length);
-  while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-    line.remove_suffix(1);
-  }
-  transfer.head_complete =
-      line.empty() || (transfer.head_complete && !line.starts_with("HTTP/"));
-  const std::size_t colon = line.find(':');
-  if (colon != std::string_view::npos) {
-    std::string_view value = line.substr(colon + 1);
-    while (!value.empty() && value.front() == ' ') {
-      value.remove_prefix(1);
-    }
-    transfer.result.headers.push_back(
-        {std::string(line.substr(0, colon)), std::string(value)});
-  }
-  return length;
-}
-
-/// @return whether a whole response was received. libcurl also reports success
-/// for one whose connection was closed in the middle of the head.
-bool IsComplete(CURLcode code, const Transfer& transfer) {
-  constexpr int kFirstFinalStatus = 200;
-  return code == CURLE_OK && transfer.head_complete &&
-         transfer.result.status >= kFirstFinalStatus;
-}
-
-HttpResult::Kind ClassifyResult(CURLcode code, const Transfer& transfer) {
-  if (IsComplete(code, transfer)) {
-    return HttpResult::Kind::kComplete;
-  }
-  CURL* easy = transfer.easy.get();
-  // libcurl counts the request bytes that it handed to the socket; with none
-  // the request cannot have run.
-  long request_size = 0;
-  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_size);
-  curl_off_t uploaded = 0;
-  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-  if (request_size == 0 && uploaded == 0) {
-    return HttpResult::Kind::kNotSent;
-  }
-  return code == CURLE_OPERATION_TIMEDOUT ? HttpResult::Kind::kTimedOut
-                                          : HttpResult::Kind::kBroken;
-}
-
 }  // namespace
 
 class HttpClient::Impl {
@@ -148,7 +46,7 @@
 
   ~Impl() {
     for (auto& [id, transfer] : m_transfers) {
-      curl_multi_remove_handle(m_multi, transfer->easy.get());
+      curl_multi_remove_handle(m_multi, transfer->Easy());
     }
     m_transfers.clear();
     curl_multi_cleanup(m_multi);
@@ -161,15 +59,10 @@
   Impl& operator=(const Impl&) = delete;
 
   CallId Start(HttpCall call, DoneCallback on_done, DataCallback on_data) {
-    auto transfer = std::make_unique<Transfer>();
-    transfer->id = m_next_id++;
-    transfer->call = std::move(call);
-    transfer->on_done = std::move(on_done);
-    transfer->on_data = std::move(on_data);
-    transfer->easy.reset(curl_easy_init());
-    Configure(*transfer);
-    const CallId id = transfer->id;
-    CURL* easy = transfer->easy.get();
+    const CallId id = m_next_id++;
+    auto transfer = std::make_unique<HttpTransfer>(
+        id, std::move(call), std::move(on_done), std::move(on_data));
+    CURL* easy = transfer->Easy();
     m_transfers.emplace(id, std::move(transfer));
     if (m_in_curl) {
       // libcurl refuses new transfers from within its callbacks.
@@ -188,18 +81,20 @@
     const auto entry = m_transfers.find(id);
     if (entry == m_transfers.end()) {
       for (const auto& transfer : m_finished) {
-        transfer->cancelled = transfer->cancelled || transfer->id == id;
+        if (transfer->Id() == id) {
+          transfer->Cancel();
+        }
       }
       return;
     }
     if (m_in_curl) {
       // libcurl does not allow the removal of a transfer from within its
       // callbacks, and a callback must not be destroyed while it runs.
-      entry->second->cancelled = true;
+      entry->second->Cancel();
       m_to_cancel.push_back(id);
       return;
     }
-    curl_multi_remove_handle(m_multi, entry->second->easy.get());
+    curl_multi_remove_handle(m_multi, entry->second->Easy());
     m_transfers.erase(entry);
   }
 
@@ -213,61 +108,6 @@
     bool writing = false;
   };
 
-  static void Configure(Transfer& transfer) {
-    CURL* easy = transfer.easy.get();
-    const HttpCall& call = transfer.call;
-    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(call.connect_timeout.count()));
-    if (call.total_timeout.count() > 0) {
-      curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                       static_cast<long>(call.total_timeout.count()));
-    }
-    if (call.idle_timeout.count() > 0) {
-      curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
-      curl_easy_setopt(
-          easy, CURLOPT_LOW_SPEED_TIME,
-          static_cast<long>((call.idle_timeout.count() + 999) / 1000));
-    }
-    if (call.fresh_connection) {
-      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    }
-    if (call.method == "HEAD") {
-      curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-    } else if (call.method != "GET" || !call.body.empty()) {
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                       static_cast<curl_off_t>(call.body.size()));
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
-      curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    }
-    curl_slist* list = nullptr;
-    for (const HttpHeader& header : call.headers) {
-      // libcurl sends the line as it is, so a line end in the value would add
-      // a header.
-      std::string line = header.name + ": " + header.value;
-      std::replace_if(
-          line.begin(), line.end(),
-          [](char c) { return c == '\r' || c == '\n' || c == '\0'; }, ' ');
-      list = curl_slist_append(list, line.c_str());
-    }
-    // Waiting for "100 Continue" would add a round trip or a second to large
-    // bodies.
-    list = curl_slist_append(list, "Expect:");
-    transfer.headers.reset(list);
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
-  }
-
   static int OnSocket(CURL* /*easy*/,
                       curl_socket_t fd,
                       int what,
@@ -364,7 +204,7 @@
     for (const CallId id : std::exchange(m_to_start, {})) {
       const auto entry = m_transfers.find(id);
       if (entry != m_transfers.end()) {
-        curl_multi_add_handle(m_multi, entry->second->easy.get());
+        curl_multi_add_handle(m_multi, entry->second->Easy());
       }
     }
   }
@@ -390,42 +230,26 @@
         continue;
       }
       CURL* easy = message->easy_handle;
-      const CURLcode code = message->data.result;
-      Transfer* transfer = nullptr;
-      curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
-      long status = 0;
-      curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-      transfer->result.status = static_cast<int>(status);
-      transfer->result.kind = ClassifyResult(code, *transfer);
-      if (code != CURLE_OK) {
-        transfer->result.error = transfer->too_large
-                                     ? "the response is larger than its limit"
-                                     : curl_easy_strerror(code);
-      } else if (!IsComplete(code, *transfer)) {
-        transfer->result.error =
-            "the connection closed before the end of the "
-            "response's head";
-      }
+      HttpTransfer& transfer = HttpTransfer::Of(easy);
+      transfer.SetEnd(message->data.result);
       curl_multi_remove_handle(m_multi, easy);
-      auto node = m_transfers.extract(transfer->id);
+      auto node = m_transfers.extract(transfer.Id());
       m_finished.push_back(std::move(node.mapped()));
     }
     // A callback may cancel a call that is still in this queue.
     while (!m_finished.empty()) {
       const auto transfer = std::move(m_finished.front());
       m_finished.pop_front();
-      if (!transfer->cancelled && transfer->on_done) {
-        transfer->on_done(std::move(transfer->result));
-      }
+      transfer->Deliver();
     }
   }
 
   asio::io_context& m_loop;
   asio::steady_timer m_timer;
   CURLM* m_multi = nullptr;
-  std::unordered_map<CallId, std::unique_ptr<Transfer>> m_transfers;
+  std::unordered_map<CallId, std::unique_ptr<HttpTransfer>> m_transfers;
   std::unordered_map<curl_socket_t, std::shared_ptr<Socket>> m_sockets;
-  std::deque<std::unique_ptr<Transfer>> m_finished;
+  std::deque<std::unique_ptr<HttpTransfer>> m_finished;
   std::vector<CallId> m_to_start;   ///< Started from within libcurl.
   std::vector<CallId> m_to_cancel;  ///< Cancelled from within libcurl.
   CallId m_next_id = 1;
