--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -44,6 +44,10 @@
       const std::string& workspace) const;
   /// @return whether upstreams of any service have a warm-up
   bool HasWarmUp() const { return m_has_warm_up; }
+  /// @return the scope that a workspace shares with no other
+  static std::string OwnCacheScope(const std::string& workspace) {
+    return "workspace:" + workspace;
+  }
 
   /// @return the service, or null
   const Service* FindService(std::string_view name) const;
--- a/packages/core/src/forwarding/route_table.cc
+++ b/packages/core/src/forwarding/route_table.cc
@@ -97,7 +97,7 @@
 std::string RouteTable::CacheScope(const std::string& workspace) const {
   return workspace.empty() || m_sharing_workspaces.contains(workspace)
              ? m_shared_scope
-             : "workspace:" + workspace;
+             : OwnCacheScope(workspace);
 }
 
 std::span<const std::string> RouteTable::WorkspaceRegions(
