Use the speed that upstreams on shared machines report

Load reports with a fourth figure were rejected as a whole, so that the load of upstreams that share their machines was never known.

--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -142,6 +142,8 @@
   std::string upstream;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /// Duration of work relative to the usual one; absent if not reported.
+  std::optional<double> slowdown;
 };
 
 /// An upstream reported the version of its weights.
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream.h
@@ -9,6 +9,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/upstream_speed.h"
 
 namespace jasminehatch::forwarding {
 
@@ -48,6 +49,7 @@
   /// rejected a request because it was full or loading weights.
   std::optional<MonotonicTime> paused_until;
 
+  UpstreamSpeed speed;
   std::uint32_t in_flight = 0;  ///< Running attempts of this daemon.
   std::uint64_t tokens = 0;     ///< Memory that these need, in tokens.
   double reported_load = 0;  ///< Running and waiting requests of all daemons.
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -47,6 +47,9 @@
   /// is newer than all that this daemon has read.
   void OnPublicationAge(const PublicationAge& publication, MonotonicTime now);
 
+  /// Records the load that an upstream reported, and its speed, if any.
+  void OnLoad(const LoadObserved& observed, MonotonicTime now);
+
   /// Records the weights that an upstream reported; versions never decrease.
   void OnWeightsObserved(const WeightsObserved& observed);
 
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -144,6 +144,8 @@
           static_cast<double>(tokens) / m_engine_memory_tokens;
       candidate.load = std::max(candidate.load, candidate.memory_share);
     }
+    // At a slow upstream, the same requests take longer to make room.
+    candidate.load *= upstream.speed.SlowdownAt(m_now);
     candidate.load += kFailurePenalty * upstream.failure_share;
     if (m_version_limits.favored_version > 0 &&
         upstream.WeightVersion(m_request.arrival.prompt->model) <
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -58,9 +58,7 @@
   void Apply(const CallerDisconnected& event);
   void Apply(const ResponseStarted& event);
   void Apply(const LoadObserved& event) {
-    if (Upstream* upstream = m_state.upstreams.Find(event.upstream)) {
-      upstream->OnLoadReport(event.running, event.waiting);
-    }
+    m_state.upstreams.OnLoad(event, m_now);
   }
   void Apply(const WeightsObserved& event) {
     m_state.upstreams.OnWeightsObserved(event);
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -133,6 +133,18 @@
   DropOldest(versions);
 }
 
+void UpstreamDirectory::OnLoad(const LoadObserved& observed,
+                               MonotonicTime now) {
+  Upstream* upstream = Find(observed.upstream);
+  if (upstream == nullptr) {
+    return;
+  }
+  upstream->OnLoadReport(observed.running, observed.waiting);
+  if (observed.slowdown) {
+    upstream->speed.OnReport(*observed.slowdown, now);
+  }
+}
+
 void UpstreamDirectory::OnWeightsObserved(const WeightsObserved& observed) {
   if (Upstream* upstream = Find(observed.upstream)) {
     std::uint64_t& version = upstream->entry.weights[observed.model];
