--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -155,6 +155,8 @@
           static_cast<double>(tokens) / m_engine_memory_tokens;
       candidate.load = std::max(candidate.load, candidate.memory_share);
     }
+    // At a slow upstream, the same requests take longer to make room.
+    candidate.load *= upstream.speed.SlowdownAt(m_now);
     if (const auto cold = ColdUseOf(upstream)) {
       candidate.load = ColdLoad(candidate.load, *cold, *m_warm_up, m_now);
     }
