--- a/tests/caller_memory/tested_daemon.cc
+++ b/tests/caller_memory/tested_daemon.cc
@@ -56,7 +56,6 @@
   net::StreamCall OrdinaryCall(std::string body) const override {
     auto call = MakeCall(m_address, "POST", "/once/x");
     call.body = std::move(body);
-    call.headers.push_back({"X-Deadline-Ms", "20000"});
     call.headers.push_back({"Authorization", "Token key"});
     return call;
   }
