Close a dropped connection with an unread response instead of refusing its request

A refusal was sent after the unread response and asked for its memory again. That could drop the request for which room was being made: it got 503 and was handed to the handler as well.

--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -268,9 +268,13 @@
       "the request is not acceptable: " + std::string(ToString(reason)) + "\n");
 }
 
+bool ServerConnection::HasUnreadResponse() const {
+  return m_output.size() + m_writing.size() >= kUnreadBytes;
+}
+
 shedding::Activity ServerConnection::CurrentActivity() const {
   using shedding::Activity;
-  if (m_output.size() + m_writing.size() >= kUnreadBytes) {
+  if (HasUnreadResponse()) {
     return Activity::kUnread;
   }
   switch (m_phase) {
@@ -302,9 +306,7 @@
   if (m_phase == Phase::kReading) {
     Reject(Refusal::kNoMemory);
   } else {
-    Drop(m_output.size() + m_writing.size() >= kUnreadBytes
-             ? Refusal::kResponseMemory
-             : Refusal::kNoMemory);
+    Drop(HasUnreadResponse() ? Refusal::kResponseMemory : Refusal::kNoMemory);
   }
 }
 
@@ -312,7 +314,8 @@
   if (!m_socket.is_open()) {
     return;
   }
-  if (m_phase == Phase::kReading && m_first_byte_seen) {
+  // A refusal is sent after an unread response and would not free its memory.
+  if (m_phase == Phase::kReading && m_first_byte_seen && !HasUnreadResponse()) {
     Reject(Refusal::kShed);
   } else {
     Drop(Refusal::kShed);
--- a/packages/net/src/stream/server_connection.h
+++ b/packages/net/src/stream/server_connection.h
@@ -107,6 +107,9 @@
   void GrowBody(std::size_t bytes);
   void DispatchRequest();
   void Reject(Refusal reason);
+  /// @return whether so much of a response is unsent that the connection counts
+  /// as waiting for its caller
+  bool HasUnreadResponse() const;
   shedding::Activity CurrentActivity() const;
   /// Asks for the memory that the connection holds.
   /// @param body_capacity memory of the body, in bytes
--- a/packages/net/tests/caller_memory_test.cc
+++ b/packages/net/tests/caller_memory_test.cc
@@ -279,3 +279,30 @@
   CHECK(refused.WaitForClose());
   LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kConnectionLimit));
 }
+
+// Guards against a dropped connection that asks for the memory of its unread
+// response again, and so drops the request that it made room for.
+TEST(CallerMemory, ADroppedUnreadResponseFreesItsMemory) {
+  constexpr std::size_t kResponse = 12UL << 20U;
+  constexpr std::size_t kNextBody = 2UL << 20U;
+  Fixture fixture;
+  fixture.HoldRequests();
+  fixture.Server().SetMemoryLimits({kResponse + (1UL << 20U), 50});
+  Fixture::Caller unread(fixture, BodyHead(1) + "a");
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  // More than the kernel's buffers take.
+  fixture.SendHeld(std::string(kResponse, 'a'));
+  fixture.DropHeld();
+  unread.Send("POST ");
+  const auto since = std::chrono::steady_clock::now();
+  CHECK(fixture.RunUntil([&] {
+    return std::chrono::steady_clock::now() - since > shedding::kStallTime;
+  }));
+  Fixture::Caller next(fixture,
+                       BodyHead(kNextBody) + std::string(kNextBody, 'a'));
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  fixture.SendHeld("done");
+  LONGS_EQUAL(200, next.Status());
+  LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kShed));
+  LONGS_EQUAL(0, fixture.Refusals(CallerRefusal::kResponseMemory));
+}
