Send no refusal on a connection without a request

When a complete response did not fit into the limit, a 503 followed it although no request was being read. The connection now closes after the response.

--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -303,10 +303,19 @@
   if (!m_socket.is_open() || AskForMemory(m_body.capacity())) {
     return;
   }
-  if (m_phase == Phase::kReading) {
+  if (HasUnreadResponse()) {
+    Drop(Refusal::kResponseMemory);
+  } else if (m_phase != Phase::kReading) {
+    Drop(Refusal::kNoMemory);
+  } else if (m_first_byte_seen || !m_input.empty()) {
     Reject(Refusal::kNoMemory);
   } else {
-    Drop(HasUnreadResponse() ? Refusal::kResponseMemory : Refusal::kNoMemory);
+    // There is no request to refuse; the response that is being written is
+    // completed.
+    m_shared->Report(Refusal::kNoMemory);
+    m_phase = Phase::kClosing;
+    Flush();
+    AskForMemory(m_body.capacity());
   }
 }
 
--- a/packages/net/tests/caller_memory_test.cc
+++ b/packages/net/tests/caller_memory_test.cc
@@ -280,6 +280,23 @@
   LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kConnectionLimit));
 }
 
+// Guards against a response without a request: a connection whose response does
+// not fit into the limit is closed after it.
+TEST(CallerMemory, AResponseThatDoesNotFitIsNotFollowedByARefusal) {
+  Fixture fixture;
+  fixture.HoldRequests();
+  Fixture::Caller caller(fixture, BodyHead(1) + "a");
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  fixture.Server().SetMemoryLimits({1, 50});
+  fixture.SendHeld("done");
+  CHECK(caller.WaitForClose());
+  const std::string& received =
+      caller.Receive([](const std::string&) { return true; });
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(received.ends_with("done"));
+  LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kNoMemory));
+}
+
 // Guards against a dropped connection that asks for the memory of its unread
 // response again, and so drops the request that it made room for.
 TEST(CallerMemory, ADroppedUnreadResponseFreesItsMemory) {
