--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -268,9 +268,13 @@
       "the request is not acceptable: " + std::string(ToString(reason)) + "\n");
 }
 
+bool ServerConnection::HasUnreadResponse() const {
+  return m_output.size() + m_writing.size() >= kUnreadBytes;
+}
+
 shedding::Activity ServerConnection::CurrentActivity() const {
   using shedding::Activity;
-  if (m_output.size() + m_writing.size() >= kUnreadBytes) {
+  if (HasUnreadResponse()) {
     return Activity::kUnread;
   }
   switch (m_phase) {
@@ -299,12 +303,19 @@
   if (!m_socket.is_open() || AskForMemory(m_body.capacity())) {
     return;
   }
-  if (m_phase == Phase::kReading) {
+  if (HasUnreadResponse()) {
+    Drop(Refusal::kResponseMemory);
+  } else if (m_phase != Phase::kReading) {
+    Drop(Refusal::kNoMemory);
+  } else if (m_first_byte_seen || !m_input.empty()) {
     Reject(Refusal::kNoMemory);
   } else {
-    Drop(m_output.size() + m_writing.size() >= kUnreadBytes
-             ? Refusal::kResponseMemory
-             : Refusal::kNoMemory);
+    // There is no request to refuse; the response that is being written is
+    // completed.
+    m_shared->Report(Refusal::kNoMemory);
+    m_phase = Phase::kClosing;
+    Flush();
+    AskForMemory(m_body.capacity());
   }
 }
 
@@ -312,7 +323,8 @@
   if (!m_socket.is_open()) {
     return;
   }
-  if (m_phase == Phase::kReading && m_first_byte_seen) {
+  // A refusal is sent after an unread response and would not free its memory.
+  if (m_phase == Phase::kReading && m_first_byte_seen && !HasUnreadResponse()) {
     Reject(Refusal::kShed);
   } else {
     Drop(Refusal::kShed);
--- a/packages/net/tests/caller_memory_test.cc
+++ b/packages/net/tests/caller_memory_test.cc
@@ -279,3 +279,47 @@
   CHECK(refused.WaitForClose());
   LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kConnectionLimit));
 }
+
+// Guards against a response without a request: a connection whose response does
+// not fit into the limit is closed after it.
+TEST(CallerMemory, AResponseThatDoesNotFitIsNotFollowedByARefusal) {
+  Fixture fixture;
+  fixture.HoldRequests();
+  Fixture::Caller caller(fixture, BodyHead(1) + "a");
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  fixture.Server().SetMemoryLimits({1, 50});
+  fixture.SendHeld("done");
+  CHECK(caller.WaitForClose());
+  const std::string& received =
+      caller.Receive([](const std::string&) { return true; });
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(received.ends_with("done"));
+  LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kNoMemory));
+}
+
+// Guards against a dropped connection that asks for the memory of its unread
+// response again, and so drops the request that it made room for.
+TEST(CallerMemory, ADroppedUnreadResponseFreesItsMemory) {
+  constexpr std::size_t kResponse = 12UL << 20U;
+  constexpr std::size_t kNextBody = 2UL << 20U;
+  Fixture fixture;
+  fixture.HoldRequests();
+  fixture.Server().SetMemoryLimits({kResponse + (1UL << 20U), 50});
+  Fixture::Caller unread(fixture, BodyHead(1) + "a");
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  // More than the kernel's buffers take.
+  fixture.SendHeld(std::string(kResponse, 'a'));
+  fixture.DropHeld();
+  unread.Send("POST ");
+  const auto since = std::chrono::steady_clock::now();
+  CHECK(fixture.RunUntil([&] {
+    return std::chrono::steady_clock::now() - since > shedding::kStallTime;
+  }));
+  Fixture::Caller next(fixture,
+                       BodyHead(kNextBody) + std::string(kNextBody, 'a'));
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  fixture.SendHeld("done");
+  LONGS_EQUAL(200, next.Status());
+  LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kShed));
+  LONGS_EQUAL(0, fixture.Refusals(CallerRefusal::kResponseMemory));
+}
