Count the pipelined requests of a connection of the gateway's server

After the response to the first one the connection counted as idle, and could be dropped for a new one while further requests were in progress.

--- a/packages/net/src/http/receive_gauge.cc
+++ b/packages/net/src/http/receive_gauge.cc
@@ -101,7 +101,7 @@
   const auto found = m_connections.find(id);
   if (found != m_connections.end()) {
     found->second.received = 0;
-    found->second.running = true;
+    ++found->second.running;
     m_ledger.Update(id, Activity::kRunning, 0, Now());
   }
   const std::size_t bytes = body_bytes * kBodyCopies;
@@ -111,9 +111,11 @@
 
 void ReceiveGauge::OnResponded(ConnectionId id) {
   const auto found = m_connections.find(id);
-  if (found != m_connections.end() &&
-      std::exchange(found->second.running, false) &&
-      found->second.received == 0) {
+  if (found == m_connections.end()) {
+    return;
+  }
+  Connection& connection = found->second;
+  if (--connection.running == 0 && connection.received == 0) {
     m_ledger.Update(id, Activity::kIdle, 0, Now());
   }
 }
--- a/packages/net/src/http/receive_gauge.h
+++ b/packages/net/src/http/receive_gauge.h
@@ -58,7 +58,7 @@
   struct Connection {
     Socket* socket = nullptr;
     std::size_t received = 0;  ///< Memory of what was not handed over.
-    bool running = false;
+    std::size_t running = 0;   ///< Requests without a complete response.
   };
 
   void Report(shedding::CallerRefusal reason) const;
--- a/packages/net/tests/http_round_trip_test.cc
+++ b/packages/net/tests/http_round_trip_test.cc
@@ -1,16 +1,25 @@
+#include <jasminehatch/core.h>
 #include <jasminehatch/net.h>
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "jasminehatch/detail/testing/leak_detector_off.h"
+#include "jasminehatch/detail/testing/run_until.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace jasminehatch::net;
+using jasminehatch::shedding::CallerRefusal;
+using jasminehatch::testing::RunUntil;
 
 TEST_GROUP_BASE(HttpRoundTrip, jasminehatch::testing::LeakDetectorOff){};
 
@@ -144,3 +153,48 @@
   CHECK_FALSE(first_ended);
   CHECK(second_ended);
 }
+
+// Guards against a connection that counts as idle, and is dropped for a new
+// one, while the second of its pipelined requests is in progress.
+TEST(HttpRoundTrip, AConnectionWithAPipelinedRequestIsNotDropped) {
+  asio::io_context loop;
+  std::vector<std::shared_ptr<ResponseWriter>> held;
+  std::vector<CallerRefusal> refused;
+  HttpServer::Options options;
+  options.memory.connection_limit = 1;
+  options.on_refusal = [&](CallerRefusal reason) { refused.push_back(reason); };
+  HttpServer server(
+      loop, options,
+      [&](const HttpRequest&, const std::shared_ptr<ResponseWriter>& writer) {
+        held.push_back(writer);
+      });
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                                         server.Port());
+  asio::ip::tcp::socket caller(loop);
+  caller.connect(endpoint);
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(caller, asio::buffer(request + request));
+  CHECK(RunUntil(loop, [&] { return held.size() == 2; }));
+  held[0]->Send(200, {}, "first");
+  std::string received;
+  const auto receive = [&](const std::string& end) {
+    return RunUntil(loop, [&] {
+      std::array<char, 1024> buffer{};
+      asio::error_code error;
+      caller.non_blocking(true);
+      received.append(buffer.data(),
+                      caller.read_some(asio::buffer(buffer), error));
+      return received.ends_with(end) || error == asio::error::eof;
+    });
+  };
+  CHECK(receive("first"));
+  asio::ip::tcp::socket other(loop);
+  other.connect(endpoint);
+  CHECK(RunUntil(loop, [&] { return !refused.empty(); }));
+  CHECK(refused == std::vector<CallerRefusal>{CallerRefusal::kConnectionLimit});
+  held[1]->Send(200, {}, "second");
+  CHECK(receive("second"));
+  CHECK(received.ends_with("second"));
+  held.clear();
+  server.Close();
+}
