--- a/packages/core/tests/memory_ledger_test.cc
+++ b/packages/core/tests/memory_ledger_test.cc
@@ -132,6 +132,7 @@
   const bool held = rc::check([] {
     MemoryLedger ledger({kLimit, 40});
     std::map<ConnectionId, std::size_t> held_bytes;
+    std::map<ConnectionId, Activity> activities;
     std::vector<std::size_t> running;
     std::size_t running_bytes = 0;
     ConnectionId next = 1;
@@ -170,6 +171,7 @@
           const std::size_t bytes = chosen->second;
           CHECK(ledger.Update(id, Activity::kRunning, 0, now).granted);
           chosen->second = 0;
+          activities[id] = Activity::kRunning;
           ledger.AddRunning(bytes);
           running.push_back(bytes);
           running_bytes += bytes;
@@ -177,17 +179,37 @@
           const auto bytes = *rc::gen::inRange<std::size_t>(0, kLimit / 2);
           const auto activity = *rc::gen::element(
               Activity::kIdle, Activity::kReading, Activity::kUnread);
+          const bool is_more = bytes > chosen->second;
+          const std::size_t large_before = ledger.LargeBodyBytes();
           const Decision decision = ledger.Update(id, activity, bytes, now);
           forget(decision);
           RC_ASSERT(held_bytes.contains(id));
-          held_bytes[id] = decision.granted ? bytes : held_bytes[id];
+          if (decision.granted) {
+            held_bytes[id] = bytes;
+            activities[id] = activity;
+          }
+          // Less memory is granted even if it becomes that of a large body.
+          if (is_more) {
+            RC_ASSERT(
+                ledger.LargeBodyBytes() <=
+                std::max(large_before, ledger.CurrentOptions().LargeLimit()));
+          }
         }
       }
       std::size_t sum = running_bytes + held_bytes.size() * kConnectionBytes;
+      std::size_t large = 0;
+      const auto large_part = [](std::size_t bytes) {
+        return bytes >= kLargeBytes ? bytes : 0;
+      };
+      for (const std::size_t bytes : running) {
+        large += large_part(bytes);
+      }
       for (const auto& [id, bytes] : held_bytes) {
         sum += bytes;
+        large += activities[id] == Activity::kReading ? large_part(bytes) : 0;
       }
       RC_ASSERT(ledger.TotalBytes() == sum);
+      RC_ASSERT(ledger.LargeBodyBytes() == large);
       RC_ASSERT(ledger.Connections() == held_bytes.size());
       RC_ASSERT(ledger.Connections() <= 40U);
       RC_ASSERT(sum <= kLimit);
