--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -253,6 +253,7 @@
 void ServerConnection::Reject(Refusal reason) {
   m_phase = Phase::kResponding;
   m_keep_alive = false;
+  m_is_head_request = m_parser.IsHeadComplete() && m_parser.Method() == "HEAD";
   m_refusal.reset();
   std::string().swap(m_body);
   std::string().swap(m_input);
--- a/packages/net/tests/caller_memory_test.cc
+++ b/packages/net/tests/caller_memory_test.cc
@@ -323,3 +323,17 @@
   LONGS_EQUAL(1, fixture.Refusals(CallerRefusal::kShed));
   LONGS_EQUAL(0, fixture.Refusals(CallerRefusal::kResponseMemory));
 }
+
+// Guards against a refusal that announces a body and lacks it, because the
+// request before it on the connection was HEAD.
+TEST(CallerMemory, ARefusalAfterAHeadRequestHasItsBody) {
+  Fixture fixture;
+  Fixture::Caller caller(fixture, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  LONGS_EQUAL(200, caller.Status());
+  caller.Send(BodyHead(1'000'000'000));
+  CHECK(caller.WaitForClose());
+  const std::string& received =
+      caller.Receive([](const std::string&) { return true; });
+  CHECK(received.find("HTTP/1.1 413") != std::string::npos);
+  CHECK(received.ends_with("body_too_large\n"));
+}
