--- a/packages/net/src/stream/server_connection.cc
+++ b/packages/net/src/stream/server_connection.cc
@@ -510,6 +510,7 @@
   // Handlers that are still queued keep the object for a while.
   std::string().swap(m_body);
   std::string().swap(m_input);
+  std::string().swap(m_output);
   NotifyClosed();
 }
 
--- a/packages/net/tests/caller_memory_test.cc
+++ b/packages/net/tests/caller_memory_test.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "jasminehatch/detail/testing/heap_bytes.h"
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 #include "jasminehatch/detail/testing/run_until.h"
 
@@ -112,6 +113,7 @@
   void SendHeld(const std::string& body) {
     m_held.front()->Send(200, {}, body);
   }
+  ServerExchange& FirstHeld() { return *m_held.front(); }
   std::size_t Held() const { return m_held.size(); }
 
  private:
@@ -341,3 +343,22 @@
   CHECK(received.find("HTTP/1.1 413") != std::string::npos);
   CHECK(received.ends_with("body_too_large\n"));
 }
+
+// Guards against memory that is counted as free while a closed connection still
+// holds it.
+TEST(CallerMemory, AClosedConnectionFreesItsUnsentResponse) {
+  constexpr std::size_t kPart = 8UL << 20U;
+  Fixture fixture;
+  fixture.HoldRequests();
+  fixture.Server().SetMemoryLimits({4 * kPart, 50});
+  Fixture::Caller caller(fixture, BodyHead(1) + "a");
+  CHECK(fixture.RunUntil([&] { return fixture.Held() == 1; }));
+  const std::string part(kPart, 'a');
+  fixture.FirstHeld().BeginStream(200, {});
+  fixture.FirstHeld().Write(part);
+  CHECK(fixture.FirstHeld().UnsentBytes() >= kPart);
+  const std::size_t before = jasminehatch::testing::HeapBytes();
+  fixture.FirstHeld().Abort();
+  // What the kernel is writing is kept until the write ends.
+  CHECK(jasminehatch::testing::HeapBytes() + kPart <= before);
+}
