--- a/packages/core/include/jasminehatch/detail/forwarding/warm_up_state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/warm_up_state.h
@@ -31,7 +31,7 @@
 
   /// @return whether the upstream counts as cold only because it could not be
   /// reached
-  bool IsDoubted(MonotonicTime now) const;
+  bool IsPresumedCold(MonotonicTime now) const;
 
   /// @return whether the upstream is cold and was not when it was last asked,
   /// for logs
@@ -41,9 +41,9 @@
   /// End of the warm-up according to the registry.
   std::optional<MonotonicTime> m_listed_until;
   /// The latest failure to reach it, or the first response after it.
-  std::optional<MonotonicTime> m_doubted_at;
+  std::optional<MonotonicTime> m_presumed_cold_at;
   bool m_contacted = false;  ///< Whether there was a response after it.
-  Duration m_doubt_time{};
+  Duration m_presumed_time{};
   std::optional<MonotonicTime> m_reported_until;
 };
 
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -400,7 +400,7 @@
       upstream->paused_until = m_now + PauseAfterRejection(request, *upstream);
       return;
     case AttemptOutcome::kNotSent:
-      DoubtWarmth(*upstream);
+      PresumeCold(*upstream);
       [[fallthrough]];
     case AttemptOutcome::kWrongUpstream:
       upstream->RecordFailure(/*unreachable=*/true, m_now, m_state.options);
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -185,7 +185,7 @@
   /// Counts an attempt against this daemon's share if the upstream is cold.
   void RecordColdSend(const Upstream& upstream);
   /// Treats an upstream that could not be reached as if it had restarted.
-  void DoubtWarmth(Upstream& upstream);
+  void PresumeCold(Upstream& upstream);
   /// Counts and logs an upstream that has become cold.
   void ReportIfCold(Upstream& upstream);
   void ReportIfCold(const std::string& id) {
--- a/packages/core/src/forwarding/warm_up.cc
+++ b/packages/core/src/forwarding/warm_up.cc
@@ -8,8 +8,9 @@
 namespace jasminehatch::forwarding {
 namespace {
 
-/// Smallest share of its capacity at which a cold upstream is rated.
-constexpr double kMinWarmth = 0.2;
+/// Lower bound of the progress by which the load of a cold upstream is divided.
+/// Without it, the load just after the start would be infinite.
+constexpr double kMinWarmUpProgress = 0.2;
 
 /// Added to the relative load of an upstream that has just become cold. It is
 /// slow, so that it is used once the others are half full.
@@ -53,8 +54,9 @@
   using Seconds = std::chrono::duration<double>;
   const double left = Seconds(use.cold_until - now).count();
   const double total = std::max(Seconds(spec.time).count(), left);
-  const double warmth = 1 - left / total;
-  return load / std::max(warmth, kMinWarmth) + kColdPenalty * (1 - warmth);
+  const double warm_up_progress = 1 - left / total;
+  return load / std::max(warm_up_progress, kMinWarmUpProgress) +
+         kColdPenalty * (1 - warm_up_progress);
 }
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/forwarding/warm_up_steps.cc
+++ b/packages/core/src/forwarding/warm_up_steps.cc
@@ -24,7 +24,7 @@
   }
 }
 
-void Reducer::DoubtWarmth(Upstream& upstream) {
+void Reducer::PresumeCold(Upstream& upstream) {
   if (const WarmUpSpec* warm_up = FindWarmUp(m_state, upstream.entry.service)) {
     upstream.warm_up.OnUnreachable(warm_up->time, m_now);
     ReportIfCold(upstream);
@@ -44,7 +44,7 @@
   Log("upstream_cold",
       {{"upstream", upstream.entry.id},
        {"cause",
-        upstream.warm_up.IsDoubted(m_now) ? "unreachable" : "registry"},
+        upstream.warm_up.IsPresumedCold(m_now) ? "unreachable" : "registry"},
        {"left_ms", Milliseconds(use->cold_until - m_now)},
        {"share", std::to_string(use->share.requests)},
        {"window_ms", Milliseconds(use->share.window)},
--- a/packages/core/tests/warm_up_test.cc
+++ b/packages/core/tests/warm_up_test.cc
@@ -193,8 +193,9 @@
   UNSIGNED_LONGS_EQUAL(20, fixture.SendMany(20)["u1"]);
 }
 
-// Guards against a snapshot, whose records may be old, that ends the doubt.
-TEST(WarmUp, ASnapshotDoesNotEndTheDoubt) {
+// Guards against a snapshot that marks an upstream as warm although its records
+// may be older than the failure.
+TEST(WarmUp, ASnapshotDoesNotEndAPresumedWarmUp) {
   WarmUpFixture fixture;
   fixture.Register("u1", 0s);
   fixture.Send("/once/");
