Apply the allowed regions of all entries of a workspace

If a configuration had two entries of one workspace, only the list of the first was applied, so that a request with a key of the second could leave its regions. Private workspaces follow the same rule already: one such entry is enough.

--- a/packages/core/include/jasminehatch/detail/forwarding/route_table.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/route_table.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "jasminehatch/detail/forwarding/configuration.h"
 
@@ -37,10 +38,10 @@
   /// @param workspace name; empty for requests without a workspace
   std::string CacheScope(const std::string& workspace) const;
 
-  /// @return the regions in which the requests of a workspace may be
-  /// processed; empty for all
+  /// @return lists of regions in which the requests of a workspace may be
+  /// processed, all of which apply: one for each restricted entry of that name
   /// @param workspace name; empty for requests without a workspace
-  std::span<const std::string> WorkspaceRegions(
+  std::span<const std::vector<std::string>> WorkspaceRegions(
       const std::string& workspace) const;
   /// @return whether upstreams of any service have a warm-up
   bool HasWarmUp() const { return m_has_warm_up; }
@@ -60,8 +61,9 @@
   std::unordered_map<std::string, std::size_t> m_services;
   std::unordered_set<std::string> m_sharing_workspaces;  ///< Names.
   std::string m_shared_scope;
-  /// Workspaces whose requests are restricted to regions, by name.
-  std::unordered_map<std::string, std::size_t> m_restricted_workspaces;
+  /// Lists of allowed regions of the restricted workspaces, by name.
+  std::unordered_map<std::string, std::vector<std::vector<std::string>>>
+      m_restricted_workspaces;
   bool m_has_warm_up = false;
 };
 
--- a/packages/core/src/forwarding/residency.cc
+++ b/packages/core/src/forwarding/residency.cc
@@ -1,5 +1,8 @@
 #include "jasminehatch/detail/forwarding/residency.h"
 
+#include <string>
+#include <vector>
+
 #include "jasminehatch/detail/forwarding/allowed_zones.h"
 #include "jasminehatch/detail/forwarding/state.h"
 
@@ -12,7 +15,10 @@
     if (route != nullptr) {
       zones.Restrict(route->allowed_regions, regions);
     }
-    zones.Restrict(table.WorkspaceRegions(request.workspace), regions);
+    for (const std::vector<std::string>& allowed :
+         table.WorkspaceRegions(request.workspace)) {
+      zones.Restrict(allowed, regions);
+    }
   };
   if (request.table) {
     restrict_by(*request.table, request.route);
--- a/packages/core/src/forwarding/route_table.cc
+++ b/packages/core/src/forwarding/route_table.cc
@@ -54,7 +54,8 @@
       private_workspaces.insert(workspace.name);
     }
     if (!workspace.allowed_regions.empty()) {
-      m_restricted_workspaces.emplace(workspace.name, i);
+      m_restricted_workspaces[workspace.name].push_back(
+          workspace.allowed_regions);
     }
   }
   for (const Workspace& workspace : m_configuration.workspaces) {
@@ -100,15 +101,15 @@
              : OwnCacheScope(workspace);
 }
 
-std::span<const std::string> RouteTable::WorkspaceRegions(
+std::span<const std::vector<std::string>> RouteTable::WorkspaceRegions(
     const std::string& workspace) const {
   if (m_restricted_workspaces.empty()) {
     return {};
   }
   const auto found = m_restricted_workspaces.find(workspace);
   return found == m_restricted_workspaces.end()
-             ? std::span<const std::string>()
-             : m_configuration.workspaces[found->second].allowed_regions;
+             ? std::span<const std::vector<std::string>>()
+             : found->second;
 }
 
 const Service* RouteTable::FindService(std::string_view name) const {
--- a/packages/core/tests/residency_test.cc
+++ b/packages/core/tests/residency_test.cc
@@ -143,6 +143,23 @@
   }
 }
 
+// Guards against a list that is ignored because an earlier entry of the same
+// workspace has another one.
+TEST(Residency, ListsOfAllEntriesOfAWorkspaceApply) {
+  Fixture fixture;
+  Configuration configuration = fixture.MakeConfiguration(2);
+  configuration.workspaces[0].allowed_regions = {"east", "west"};
+  Workspace again = configuration.workspaces[0];
+  again.keys = {"key-again"};
+  again.allowed_regions = {"west"};
+  configuration.workspaces.push_back(again);
+  fixture.Apply(ConfigurationRead{configuration});
+  fixture.Confirm();
+  fixture.AddInAll();
+  STRCMP_EQUAL("c", fixture.ZonesUsed("/once/", "key-again").c_str());
+  STRCMP_EQUAL("c", fixture.ZonesUsed().c_str());
+}
+
 // Guards against a zone without a known region that is used for a restricted
 // request, also when the settings name no region at all.
 TEST(Residency, ZoneWithoutARegionIsNotUsed) {
