--- a/packages/core/src/forwarding/warm_up_limiter.cc
+++ b/packages/core/src/forwarding/warm_up_limiter.cc
@@ -24,9 +24,13 @@
 /// Largest rate that is told apart, in requests per second.
 constexpr double kMaxRate = 1e6;
 
-/// Time after which an upstream that was not asked for is forgotten; longer
-/// than any window in practice.
-constexpr std::chrono::minutes kUnusedTime{5};
+/// Longest window, which keeps the window of a tiny rate in the range of
+/// `Duration`.
+constexpr std::chrono::minutes kMaxWindow{5};
+
+/// Time after which an upstream that was not asked for is forgotten; no sends
+/// in a window may be forgotten.
+constexpr Duration kUnusedTime = kMaxWindow;
 
 /// @return the requests per second that the fleet sends to a cold upstream
 double TargetRate(const WarmUpSpec& spec, const Options& options) {
@@ -57,7 +61,8 @@
   }
   if (rate < 1) {
     share.requests = entry.rank == 0 ? 1 : 0;
-    share.window = std::chrono::duration_cast<Duration>(kWindow / rate);
+    share.window = std::chrono::duration_cast<Duration>(
+        std::min<std::chrono::duration<double>>(kWindow / rate, kMaxWindow));
     return share;
   }
   const auto total = static_cast<std::size_t>(std::floor(rate));
--- a/packages/core/tests/warm_up_test.cc
+++ b/packages/core/tests/warm_up_test.cc
@@ -74,6 +74,15 @@
     return attempts;
   }
 
+  /// Sets the rate of all services.
+  void SetRate(double rate) {
+    Configuration configuration = MakeConfiguration(3);
+    for (Service& service : configuration.services) {
+      service.warm_up = WarmUpSpec{kSpec.time, rate};
+    }
+    Apply(ConfigurationRead{configuration});
+  }
+
   std::size_t Share(const std::string& upstream) {
     State& state = CurrentState();
     return state.warm_ups
@@ -110,6 +119,21 @@
   CHECK(upstreams.Find("cold")->in_flight > share);
 }
 
+// Guards against a rate so low that the time between two requests is out of
+// range, which would lift the limit.
+TEST(WarmUp, ATinyRateIsALimit) {
+  WarmUpFixture fixture;
+  fixture.CurrentState().options.min_daemons = 1;
+  fixture.SetRate(1e-300);
+  // A single daemon has the share of the fleet.
+  fixture.CurrentState().members = FleetMembers();
+  fixture.CurrentState().members.OnListRead(fixture.Now());
+  fixture.Wait(FleetMembers::kSettleTime);
+  fixture.Confirm();
+  fixture.Register("c1", 30s);
+  CHECK(fixture.SendMany(20)["c1"] <= 1);
+}
+
 // Guards against a refusal that is late or not `not_run`, and against a
 // Retry-After at which there is still no room.
 TEST(WarmUp, RequestsAreRefusedAtOnceWhenAllUpstreamsAreCold) {
