Allow 0.8 s for records that peers have read before a daemon keeps workspaces apart

A daemon with access to the store reads a record at once, and a configuration need not be in force before that. A daemon that is cut off still keeps workspaces apart from 0.8 s after its peers' announcement.

--- a/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_FORWARDING_CONFIGURATION_LAG_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 
 #include "jasminehatch/detail/base/time.h"
@@ -13,9 +14,17 @@
 /// from the store, or was suspended, may have to wait for them.
 class ConfigurationLag {
  public:
+  /// Time for which unread records do not count as a lag. A daemon with access
+  /// to the store reads a record within this time after its peers, and using
+  /// other cache scopes until then would make its caches cold with each record.
+  static constexpr std::chrono::milliseconds kReadingTime{800};
+
   /// A peer has read the operators' records up to this offset.
   void OnAnnounced(std::uint64_t end_offset, MonotonicTime now) {
     if (end_offset > m_announced_end) {
+      if (!HasUnreadRecords()) {
+        m_behind_since = now;
+      }
       m_announced_end = end_offset;
       m_announced_at = now;
     }
@@ -31,12 +40,18 @@
     }
   }
 
-  /// @return whether there are records that this daemon has not read
-  bool IsBehind() const { return m_announced_end > m_read_end; }
+  /// @return whether there have been records for more than `kReadingTime` that
+  /// this daemon has not read
+  bool IsBehind(MonotonicTime now) const {
+    return HasUnreadRecords() && now - m_behind_since > kReadingTime;
+  }
 
  private:
+  bool HasUnreadRecords() const { return m_announced_end > m_read_end; }
+
   std::uint64_t m_announced_end = 0;
   MonotonicTime m_announced_at{};
+  MonotonicTime m_behind_since{};  ///< Since when there are unread records.
   std::uint64_t m_read_end = 0;
 };
 
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -229,7 +229,8 @@
   const RouteTable& table = *m_state.table;
   // A workspace may have become private in records that this daemon has yet to
   // read. Its own scope is right in either case.
-  const bool is_current = ConfigurationIsCurrent() && !m_state.lag.IsBehind();
+  const bool is_current =
+      ConfigurationIsCurrent() && !m_state.lag.IsBehind(m_now);
   const bool may_share =
       is_current || table.SourceConfiguration().workspaces.empty();
   return may_share ? table.CacheScope(workspace)
