--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -342,7 +342,7 @@
                                     [&](const auto& /*proof*/) { ++proofs; });
   right.host.Apply(forwarding::ConfigurationConfirmed{fixture.clock.Now(), 7});
   const auto is_behind = [&] {
-    return return right.host.State().lag.IsBehind(fixture.clock.Now());
+    return right.host.State().lag.IsBehind(fixture.clock.Now());
   };
   CHECK(fixture.RunUntil([&] { return proofs >= 2; }));
   CHECK(!is_behind());
