Share the two clients among the tests of responses

Tests of responses that are not HTTP need the calls by both clients that cut_response_test.cc made. They are now in both_clients.h; the cases are unchanged.

--- a/packages/net/tests/cut_response_test.cc
+++ b/packages/net/tests/cut_response_test.cc
@@ -5,114 +5,24 @@
 
 #include <array>
 #include <asio/io_context.hpp>
-#include <chrono>
 #include <functional>
-#include <optional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "both_clients.h"
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace jasminehatch;
 using namespace jasminehatch::net;
+using namespace jasminehatch::net::test;
 using emulator::ScriptedServer;
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{20};
-
-/// @brief What a client reports for a call.
-struct Outcome {
-  bool complete = false;
-  bool sent = true;
-  bool head_received = false;
-  std::string body;
-};
-
-/// @brief One of the two clients; each call has the same path.
-class Client {
- public:
-  virtual ~Client() = default;
-  virtual void Start(const std::string& address,
-                     std::function<void(Outcome)> on_end) = 0;
-};
-
-class CurlClient : public Client {
- public:
-  /// @param streamed whether body bytes are received as they arrive
-  CurlClient(asio::io_context& loop, bool streamed)
-      : m_client(loop), m_streamed(streamed) {}
-
-  void Start(const std::string& address,
-             std::function<void(Outcome)> on_end) override {
-    auto body = std::make_shared<std::string>();
-    HttpClient::DataCallback on_data;
-    if (m_streamed) {
-      on_data = [body](std::string_view data) { *body += data; };
-    }
-    m_client.Start(
-        {.method = "POST", .url = "http://" + address + "/x", .body = "b"},
-        [body, on_end = std::move(on_end)](const HttpResult& result) {
-          on_end({result.kind == HttpResult::Kind::kComplete,
-                  result.kind != HttpResult::Kind::kNotSent, result.status != 0,
-                  *body + result.body});
-        },
-        std::move(on_data));
-  }
-
- private:
-  HttpClient m_client;
-  bool m_streamed;
-};
-
-class AsioClient : public Client {
- public:
-  explicit AsioClient(asio::io_context& loop) : m_client(loop, {}) {}
-
-  void Start(const std::string& address,
-             std::function<void(Outcome)> on_end) override {
-    auto outcome = std::make_shared<Outcome>();
-    StreamClient::Callbacks callbacks;
-    callbacks.on_data = [outcome](std::string_view data) {
-      outcome->body += data;
-    };
-    callbacks.on_end = [outcome,
-                        on_end = std::move(on_end)](const StreamEnd& end) {
-      outcome->complete = end.kind == StreamEnd::Kind::kComplete;
-      outcome->sent = end.kind != StreamEnd::Kind::kNotSent;
-      outcome->head_received = end.head_received;
-      on_end(*outcome);
-    };
-    StreamCall call;
-    call.address = address;
-    call.method = "POST";
-    call.target = "/x";
-    call.headers = {{"Host", "h"}};
-    call.body = "b";
-    m_client.Start(std::move(call), std::move(callbacks));
-  }
-
- private:
-  StreamClient m_client;
-};
-
-Outcome Call(asio::io_context& loop,
-             Client& client,
-             const std::string& address) {
-  std::optional<Outcome> outcome;
-  client.Start(address, [&](Outcome done) { outcome = std::move(done); });
-  const auto end = std::chrono::steady_clock::now() + kTimeout;
-  while (!outcome && std::chrono::steady_clock::now() < end) {
-    loop.restart();
-    loop.run_one_for(std::chrono::milliseconds(5));
-  }
-  CHECK_TRUE_TEXT(outcome.has_value(), "the call did not end");
-  return *outcome;
-}
-
 constexpr std::string_view kWhole =
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
 
