Reject responses whose status is not one of HTTP

Cause: http_parser takes any number of up to 999, of any number of digits, for a status, and any version, and libcurl any number of three digits. No client looked at the status line itself. The forwarder passed on every complete response with the right id that was no success, and 000 is none.

Change: ResponseHeadCheck checks the first line of each head: version HTTP/1, one blank, a status from 100 to 599 of three digits. Both clients feed it with the received bytes. Such a response is malformed for StreamClient and broken for HttpClient, so that it is retried where this is allowed and otherwise answered by 502, may_have_run. HttpClient's own record of complete heads is replaced by that of the check.

--- a/packages/daemon/tests/wire_faults_test.cc
+++ b/packages/daemon/tests/wire_faults_test.cc
@@ -12,6 +12,7 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -176,6 +177,45 @@
     "503 Service Unavailable", "429 Too Many Requests",
     "421 Misdirected Request", "400 Bad Request"};
 
+/// Checks that a response which `spoil` makes of a sound one reaches no caller,
+/// that its request counts as one that may have run, and that it is retried
+/// where this is allowed.
+void CheckNoResponse(
+    const std::function<std::string(const std::string& whole)>& spoil) {
+  WireFaultFixture fixture(2);
+  fixture.AwaitReady();
+  for (const std::string path : {"/once/x", "/again/x", "/stream/x"}) {
+    const bool stream = path.starts_with("/stream");
+    const std::string body = stream ? "id: 1\ndata: a\n\n" : "done";
+    std::size_t sent = 0;
+    std::string spoiled;
+    fixture.SetScript([&](const Request& request) {
+      const std::string id = IdOf(request);
+      const std::string whole =
+          stream ? MakeStreamHead(id, "Content-Length: 15\r\n") + body
+                 : MakeSuccess(id);
+      if (sent++ > 0) {
+        return Reply{whole};
+      }
+      spoiled = spoil(whole);
+      return Reply{spoiled, After::kClose};
+    });
+    const Response response = fixture.Send(path);
+    const std::string where = path + " " + spoiled;
+    const bool once = path.starts_with("/once");
+    UNSIGNED_LONGS_EQUAL_TEXT(once ? 1 : 2, sent, where.c_str());
+    LONGS_EQUAL_TEXT(once ? 502 : 200, response.head.status, where.c_str());
+    CHECK_TRUE_TEXT(response.IsComplete(), where.c_str());
+    if (once) {
+      CHECK_TRUE_TEXT(
+          response.body.find("\"may_have_run\"") != std::string::npos,
+          where.c_str());
+    } else {
+      STRCMP_EQUAL_TEXT(body.c_str(), response.body.c_str(), where.c_str());
+    }
+  }
+}
+
 std::string Describe(std::string_view what, std::size_t position) {
   return std::string(what) + " at byte " + std::to_string(position);
 }
@@ -483,3 +523,16 @@
     }
   }
 }
+
+// Guards against a status such as 000 that reaches the caller (MIXED).
+TEST(WireFaults, AStatusOutsideHttpIsNoResponse) {
+  constexpr std::array<std::string_view, 6> kStatuses{
+      "000", "000 OK", "99 OK", "0200 OK", "600 OK", "999"};
+  for (const std::string_view status : kStatuses) {
+    CheckNoResponse([&](const std::string& whole) {
+      constexpr std::string_view kSound = "200 OK";
+      std::string odd = whole;
+      return odd.replace(odd.find(kSound), kSound.size(), status);
+    });
+  }
+}
--- a/packages/net/src/http/http_transfer.cc
+++ b/packages/net/src/http/http_transfer.cc
@@ -11,6 +11,8 @@
 /// What a callback of libcurl returns to break off a call.
 constexpr std::size_t kBreakOff = 0;
 
+constexpr std::string_view kTooLarge = "the response is larger than its limit";
+
 }  // namespace
 
 HttpTransfer::HttpTransfer(HttpClient::CallId id,
@@ -104,7 +106,7 @@
     return length;
   }
   if (transfer.m_result.body.size() + length > transfer.m_call.max_body_bytes) {
-    transfer.m_too_large = true;
+    transfer.m_fault = kTooLarge;
     return kBreakOff;
   }
   transfer.m_result.body.append(data, length);
@@ -118,15 +120,17 @@
   auto& transfer = *static_cast<HttpTransfer*>(user);
   transfer.m_head_bytes += length;
   if (transfer.m_head_bytes > transfer.m_call.max_head_bytes) {
-    transfer.m_too_large = true;
+    transfer.m_fault = kTooLarge;
     return kBreakOff;
   }
   std::string_view line(data, length);
+  transfer.m_fault = transfer.m_head_check.Feed(line);
+  if (!transfer.m_fault.empty()) {
+    return kBreakOff;
+  }
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
-  transfer.m_head_complete =
-      line.empty() || (transfer.m_head_complete && !line.starts_with("HTTP/"));
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     std::string_view value = line.substr(colon + 1);
@@ -140,9 +144,7 @@
 }
 
 bool HttpTransfer::IsComplete(CURLcode code) const {
-  constexpr int kFirstFinalStatus = 200;
-  return code == CURLE_OK && m_head_complete &&
-         m_result.status >= kFirstFinalStatus;
+  return code == CURLE_OK && m_head_check.IsComplete();
 }
 
 HttpResult::Kind HttpTransfer::ClassifyResult(CURLcode code) const {
@@ -169,8 +171,8 @@
   m_result.status = static_cast<int>(status);
   m_result.kind = ClassifyResult(code);
   if (code != CURLE_OK) {
-    m_result.error = m_too_large ? "the response is larger than its limit"
-                                 : curl_easy_strerror(code);
+    m_result.error =
+        m_fault.empty() ? curl_easy_strerror(code) : std::string(m_fault);
   } else if (!IsComplete(code)) {
     m_result.error =
         "the connection closed before the end of the "
--- a/packages/net/src/http/http_transfer.h
+++ b/packages/net/src/http/http_transfer.h
@@ -5,8 +5,10 @@
 
 #include <cstddef>
 #include <memory>
+#include <string_view>
 
 #include "jasminehatch/detail/http/http_client.h"
+#include "jasminehatch/detail/http/response_head_check.h"
 
 namespace jasminehatch::net {
 
@@ -67,8 +69,9 @@
   std::unique_ptr<curl_slist, ListDeleter> m_headers;
   HttpResult m_result;
   std::size_t m_head_bytes = 0;  ///< With informational responses and trailers.
-  bool m_head_complete = false;  ///< Of the newest status line.
-  bool m_too_large = false;
+  ResponseHeadCheck m_head_check;
+  /// Why the response was broken off; empty if it was not.
+  std::string_view m_fault;
   bool m_cancelled = false;
 };
 
--- a/packages/net/src/stream/message_parser.cc
+++ b/packages/net/src/stream/message_parser.cc
@@ -25,6 +25,7 @@
 void MessageParser::Reset() {
   http_parser_init(&m_parser, m_type);
   m_parser.data = this;
+  m_head_check.Reset();
   m_target.clear();
   if (m_target.capacity() > kMaxSpareTargetBytes) {
     m_target.shrink_to_fit();
@@ -111,6 +112,12 @@
 MessageParser::Progress MessageParser::Feed(std::string_view data) {
   static const http_parser_settings kSettings = Settings();
   Progress progress;
+  if (m_type == HTTP_RESPONSE) {
+    progress.error = m_head_check.Feed(data);
+    if (!progress.error.empty()) {
+      return progress;
+    }
+  }
   progress.consumed =
       http_parser_execute(&m_parser, &kSettings, data.data(), data.size());
   const http_errno error = HTTP_PARSER_ERRNO(&m_parser);
--- a/packages/net/src/stream/message_parser.h
+++ b/packages/net/src/stream/message_parser.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "jasminehatch/detail/http/http_message.h"
+#include "jasminehatch/detail/http/response_head_check.h"
 
 namespace jasminehatch::net {
 
@@ -77,6 +78,7 @@
 
   http_parser m_parser{};
   http_parser_type m_type;
+  ResponseHeadCheck m_head_check;  ///< Not used for requests.
   std::string m_target;
   HttpHeaders m_headers;
   /// Bytes of the target and of the names and values of headers and trailers,
