Do not read a response of a daemon that broke off in the CLI

Change: ReadObject returns the JSON of complete responses alone; `where`, which checked this already, uses it too. A response without JSON now names its status in place of an empty message.

--- a/packages/ctl/include/jasminehatch/detail/ctl/common.h
+++ b/packages/ctl/include/jasminehatch/detail/ctl/common.h
@@ -18,6 +18,10 @@
 DECLARE_string(author);
 DECLARE_bool(json);
 
+namespace jasminehatch::net {
+struct HttpResult;
+}
+
 namespace jasminehatch::ctl {
 
 class SyncClient;
@@ -41,6 +45,13 @@
 void KeepZones(const std::map<config::EntryId, config::Fields>& current,
                std::map<config::EntryId, config::Fields>& wanted);
 
+/// @return the JSON object in the body of a complete response with any status,
+/// or nothing
+std::optional<nlohmann::json> ReadObject(const net::HttpResult& result);
+
+/// @return why a call has no usable response
+std::string DescribeFailure(const net::HttpResult& result);
+
 /// @return the `/status` document of a daemon, or nothing when it does not
 /// respond
 std::optional<nlohmann::json> FetchStatus(SyncClient& client,
--- a/packages/ctl/src/booking_command.cc
+++ b/packages/ctl/src/booking_command.cc
@@ -29,17 +29,17 @@
     call.headers = {{"Authorization", "Bearer " + FLAGS_key}};
     call.total_timeout = std::chrono::seconds(5);
     const net::HttpResult result = client.Call(std::move(call));
-    const json document = json::parse(result.body, nullptr, false);
-    if (result.status == 200 && document.is_object()) {
-      const std::string stage = document.value("stage", "unknown");
-      std::cout << (FLAGS_json ? document.dump() : stage) << '\n';
+    const auto document = ReadObject(result);
+    if (result.status == 200 && document) {
+      const std::string stage = document->value("stage", "unknown");
+      std::cout << (FLAGS_json ? document->dump() : stage) << '\n';
       return stage == "unknown" ? kExitUnknown : kExitOk;
     }
-    if (document.is_object() && document.contains("error")) {
-      std::cerr << document["error"].value("message", "refused") << '\n';
+    if (document && document->contains("error")) {
+      std::cerr << document->at("error").value("message", "refused") << '\n';
       return kExitFailed;
     }
-    error = result.error;
+    error = DescribeFailure(result);
   }
   std::cerr << error << '\n';
   return kExitUnknown;
--- a/packages/ctl/src/common.cc
+++ b/packages/ctl/src/common.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <iostream>
 #include <random>
+#include <utility>
 
 #include "jasminehatch/codec.h"
 #include "jasminehatch/detail/ctl/command.h"
@@ -60,6 +61,21 @@
   }
 }
 
+std::optional<json> ReadObject(const net::HttpResult& result) {
+  // A part of a response, after which its connection broke, may be valid JSON.
+  if (result.kind != net::HttpResult::Kind::kComplete) {
+    return std::nullopt;
+  }
+  json document = json::parse(result.body, nullptr, false);
+  return document.is_object() ? std::optional<json>(std::move(document))
+                              : std::nullopt;
+}
+
+std::string DescribeFailure(const net::HttpResult& result) {
+  return result.error.empty() ? "HTTP " + std::to_string(result.status)
+                              : result.error;
+}
+
 std::optional<json> FetchStatus(SyncClient& client,
                                 const std::string& url,
                                 std::string& error) {
@@ -67,10 +83,9 @@
   call.url = url + "/status";
   call.total_timeout = std::chrono::seconds(2);
   const net::HttpResult result = client.Call(std::move(call));
-  json document = json::parse(result.body, nullptr, false);
-  if (result.status != 200 || !document.is_object()) {
-    error = result.error.empty() ? "HTTP " + std::to_string(result.status)
-                                 : result.error;
+  auto document = ReadObject(result);
+  if (result.status != 200 || !document) {
+    error = DescribeFailure(result);
     return std::nullopt;
   }
   return document;
--- a/packages/ctl/src/where_command.cc
+++ b/packages/ctl/src/where_command.cc
@@ -115,16 +115,14 @@
 }
 
 /// @return what the daemon says about a request that it did not explain
-std::string DescribeFailure(const net::HttpResult& result) {
-  if (!result.error.empty()) {
-    return result.error;
-  }
-  const json document = json::parse(result.body, nullptr, false);
-  std::string text = "HTTP " + std::to_string(result.status);
-  if (document.is_object() && document.contains("error") &&
-      document["error"].is_object() && document["error"].contains("message") &&
-      document["error"]["message"].is_string()) {
-    text += ", " + document["error"]["message"].get<std::string>();
+std::string DescribeRefusal(const net::HttpResult& result) {
+  std::string text = DescribeFailure(result);
+  const auto document = ReadObject(result);
+  if (document && document->contains("error") &&
+      document->at("error").is_object() &&
+      document->at("error").contains("message") &&
+      document->at("error")["message"].is_string()) {
+    text += ", " + document->at("error")["message"].get<std::string>();
   }
   return text;
 }
@@ -168,7 +166,7 @@
   SyncClient client;
   const net::HttpResult result = client.Call(std::move(call));
   if (result.status != 200 || result.kind != net::HttpResult::Kind::kComplete) {
-    std::cerr << FLAGS_daemon << ": " << DescribeFailure(result) << '\n';
+    std::cerr << FLAGS_daemon << ": " << DescribeRefusal(result) << '\n';
     return kExitUnknown;
   }
   return Report(result.body);
--- a/packages/ctl/tests/evacuate_command_test.cc
+++ b/packages/ctl/tests/evacuate_command_test.cc
@@ -9,13 +9,12 @@
 #include <asio/io_context.hpp>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
 #include <map>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "captured_command.h"
 #include "jasminehatch/detail/ctl/command.h"
 #include "jasminehatch/detail/ctl/common.h"
 #include "jasminehatch/detail/ctl/sync_client.h"
@@ -25,6 +24,7 @@
 
 using namespace jasminehatch;
 using namespace jasminehatch::ctl;
+using jasminehatch::ctl::test::Run;
 
 namespace {
 
@@ -54,21 +54,6 @@
   std::thread m_thread;
 };
 
-struct Result {
-  int exit = 0;
-  std::string output;
-};
-
-Result Run(const std::vector<std::string>& arguments) {
-  std::ostringstream output;
-  std::streambuf* const before = std::cout.rdbuf(output.rdbuf());
-  std::streambuf* const errors_before = std::cerr.rdbuf(output.rdbuf());
-  const int exit = RunCommand(arguments);
-  std::cout.rdbuf(before);
-  std::cerr.rdbuf(errors_before);
-  return {exit, output.str()};
-}
-
 bool IsEvacuated(const std::string& zone) {
   return Run({"evacuate", "state"})
              .output.find("zone " + zone + " is evacuated, upstreams: 1") !=
@@ -100,7 +85,7 @@
   LONGS_EQUAL(kExitOk, Run({"evacuate", "begin", "a"}).exit);
   CHECK(IsEvacuated("a"));
   CHECK_FALSE(IsEvacuated("b"));
-  const Result again = Run({"evacuate", "begin", "a"});
+  const auto again = Run({"evacuate", "begin", "a"});
   LONGS_EQUAL(kExitOk, again.exit);
   STRCMP_CONTAINS("unchanged", again.output.c_str());
   LONGS_EQUAL(kExitOk, Run({"evacuate", "end", "a"}).exit);
@@ -139,7 +124,7 @@
 TEST(EvacuateCommand, RefusesWhatItCannotDo) {
   const Log log;
   Run({"publish", m_file});
-  const Result unknown = Run({"evacuate", "begin", "c"});
+  const auto unknown = Run({"evacuate", "begin", "c"});
   LONGS_EQUAL(kExitFailed, unknown.exit);
   STRCMP_CONTAINS("no upstream is in the zone 'c'", unknown.output.c_str());
   for (const std::vector<std::string>& arguments :
