Reject responses with lines in the head that HTTP does not allow

What callers saw, on other systems: a worker in trouble sent an answer in whose head the name of a field held a blank or a control byte. Both happened here as well.

Cause: http_parser accepts blanks anywhere in a name and joins a line that begins with a blank to the value before it, so that a signature could change; it takes a carriage return at the start of a line for the end of the head, so that the rest of the head became the body; and it reads "Content-Length :" as a length. libcurl accepts all of these but the last two, and control characters in names and values. The heads of requests were checked against that, the heads of responses were not.

Change: ResponseHeadCheck checks each line of the head as well: a name of token characters, a colon, a value without control characters other than tabs, a carriage return only before a line feed. Folded lines are rejected, which RFC 9112, section 5.2, allows for responses. Requests and responses share the sets of characters.

Evidence, on the code before: WireFaults.AFieldNameOutsideHttpIsNoResponse: the caller got 200 in place of 502.

--- a/packages/daemon/tests/wire_faults_test.cc
+++ b/packages/daemon/tests/wire_faults_test.cc
@@ -580,3 +580,21 @@
     }
   }
 }
+
+// Guards against a field with a blank or a control byte in its name that
+// reaches the caller, with its line or with another body than the upstream's
+// (MIXED).
+TEST(WireFaults, AFieldNameOutsideHttpIsNoResponse) {
+  constexpr std::array<std::string_view, 9> kLines{
+      "X Odd: 1",     "X-Odd : 1",          " X-Odd: 1",
+      "X-\x01Odd: 1", "X-Odd\x7f: 1",       "\rX-Odd: 1",
+      "X-Odd\t: 1",   "Content-Length : 2", "Transfer-Encoding : chunked"};
+  for (const std::string_view line : kLines) {
+    CheckNoResponse([&](const std::string& whole) {
+      constexpr std::string_view kLineBefore = "X-Response-Signature: s\r\n";
+      std::string odd = whole;
+      return odd.insert(odd.find(kLineBefore) + kLineBefore.size(),
+                        std::string(line) + "\r\n");
+    });
+  }
+}
--- a/packages/net/include/jasminehatch/detail/http/http_client.h
+++ b/packages/net/include/jasminehatch/detail/http/http_client.h
@@ -45,7 +45,7 @@
     kNotSent,   ///< The call failed before a byte of the request was handed to
                 ///< a socket, whatever the reason.
     kBroken,    ///< The connection broke after bytes of the request were handed
-                ///< to a socket.
+                ///< to a socket, or the response is not HTTP/1 or too large.
     kTimedOut,  ///< A time limit was reached after bytes of the request were
                 ///< handed to a socket.
   };
--- a/packages/net/src/http/response_head_check.cc
+++ b/packages/net/src/http/response_head_check.cc
@@ -1,5 +1,7 @@
 #include "jasminehatch/detail/http/response_head_check.h"
 
+#include "jasminehatch/detail/http/header_characters.h"
+
 namespace jasminehatch::net {
 namespace {
 
@@ -14,6 +16,16 @@
     "the response does not begin with the version HTTP/1 and a status from "
     "100 to 599";
 
+constexpr std::string_view kInvalidName =
+    "a line in the head of the response does not begin with the name of a "
+    "field and a colon";
+
+constexpr std::string_view kInvalidValue =
+    "the value of a field in the head of the response has a control character";
+
+constexpr std::string_view kBareReturn =
+    "a carriage return in the head of the response does not end a line";
+
 bool IsLineEnd(char c) {
   return c == '\r' || c == '\n';
 }
@@ -37,11 +49,7 @@
     if (m_part == Part::kBody) {
       break;
     }
-    if (m_part == Part::kFields) {
-      FeedFields(c);
-      continue;
-    }
-    const std::string_view fault = FeedStatusLine(c);
+    const std::string_view fault = FeedCharacter(c);
     if (!fault.empty()) {
       return fault;
     }
@@ -49,6 +57,24 @@
   return {};
 }
 
+std::string_view ResponseHeadCheck::FeedCharacter(char c) {
+  if (m_after_return && c != '\n') {
+    return kBareReturn;
+  }
+  m_after_return = c == '\r';
+  switch (m_part) {
+    case Part::kStatusLine:
+      return FeedStatusLine(c);
+    case Part::kFieldName:
+      return FeedFieldName(c);
+    case Part::kFieldValue:
+      return FeedFieldValue(c);
+    case Part::kBody:
+      break;
+  }
+  return {};
+}
+
 std::string_view ResponseHeadCheck::FeedStatusLine(char c) {
   if (m_position == 0 && IsLineEnd(c)) {
     return {};  // Empty lines before a response are skipped.
@@ -66,25 +92,42 @@
   }
   ++m_position;
   if (c == '\n') {
-    m_part = Part::kFields;
-    m_position = 0;
+    BeginLine();
   }
   return {};
 }
 
-void ResponseHeadCheck::FeedFields(char c) {
-  if (c == '\r') {
-    return;
+std::string_view ResponseHeadCheck::FeedFieldName(char c) {
+  if (m_position == 0 && IsLineEnd(c)) {
+    if (c == '\n') {
+      EndHead();
+    }
+    return {};
   }
-  if (c != '\n') {
-    ++m_position;
-    return;
+  if (m_position > 0 && c == ':') {
+    m_part = Part::kFieldValue;
+    return {};
   }
-  const bool is_head_end = m_position == 0;
-  m_position = 0;
-  if (is_head_end) {
-    m_part = m_informational ? Part::kStatusLine : Part::kBody;
+  ++m_position;
+  return IsHeaderNameCharacter(c) ? std::string_view() : kInvalidName;
+}
+
+std::string_view ResponseHeadCheck::FeedFieldValue(char c) {
+  if (c == '\n') {
+    BeginLine();
+    return {};
   }
+  return c == '\r' || IsHeaderValueCharacter(c) ? std::string_view()
+                                                : kInvalidValue;
+}
+
+void ResponseHeadCheck::BeginLine() {
+  m_part = Part::kFieldName;
+  m_position = 0;
+}
+
+void ResponseHeadCheck::EndHead() {
+  m_part = m_informational ? Part::kStatusLine : Part::kBody;
 }
 
 }  // namespace jasminehatch::net
--- a/packages/net/src/stream/message_text.cc
+++ b/packages/net/src/stream/message_text.cc
@@ -4,23 +4,11 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 
-namespace jasminehatch::net {
-namespace {
-
-bool IsTokenCharacter(unsigned char c) {
-  return std::isalnum(c) != 0 ||
-         std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
-             std::string_view::npos;
-}
+#include "jasminehatch/detail/http/header_characters.h"
 
-bool IsValueCharacter(unsigned char c) {
-  return c == '\t' || (c >= 0x20U && c != 0x7fU);
-}
-
-}  // namespace
+namespace jasminehatch::net {
 
 std::string FormatStatusLine(int status) {
   std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -49,9 +37,9 @@
 bool IsValidHeader(const HttpHeader& header) {
   return !header.name.empty() &&
          std::all_of(header.name.begin(), header.name.end(),
-                     IsTokenCharacter) &&
+                     IsHeaderNameCharacter) &&
          std::all_of(header.value.begin(), header.value.end(),
-                     IsValueCharacter);
+                     IsHeaderValueCharacter);
 }
 
 bool IsValidTarget(std::string_view target) {
--- a/packages/net/tests/odd_response_test.cc
+++ b/packages/net/tests/odd_response_test.cc
@@ -6,11 +6,13 @@
 
 #include <array>
 #include <asio/io_context.hpp>
+#include <climits>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "both_clients.h"
+#include "jasminehatch/detail/http/header_characters.h"
 #include "jasminehatch/detail/http/response_head_check.h"
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
@@ -36,6 +38,19 @@
     "HTTP/1.1  200 OK", "HTTP/1.1 OK",       "HTTP/2.0 200 OK",
     "HTTP/1.1 200OK",   "HTTP/11.1 200 OK"};
 
+/// Lines of a head in which a parser may see other fields, or another end of
+/// the head, than the next one.
+constexpr std::array<std::string_view, 9> kAmbiguousLines{
+    "Content-Length : 2",
+    "Content-Length\t: 2",
+    "Transfer-Encoding : chunked",
+    " Content-Length: 2",
+    "\tfolded",
+    "\rX: 1",
+    "X: 1\rContent-Length: 2",
+    "X: \x01",
+    "no colon"};
+
 /// Checks that no client takes the bytes for a response.
 void CheckNoResponse(const std::string& bytes) {
   asio::io_context loop;
@@ -111,3 +126,53 @@
   check.Feed(whole);
   CHECK_TRUE(check.IsComplete());
 }
+
+// Guards against a field with a blank or a control byte in its name that
+// reaches the caller, or that makes another body of the response.
+TEST(OddResponse, AFieldNameOutsideHttpIsNoResponse) {
+  const std::string name = "Xab";
+  for (std::size_t position = 0; position < name.size(); ++position) {
+    for (int byte = 0; byte <= UCHAR_MAX; ++byte) {
+      const char c = static_cast<char>(byte);
+      const bool ends_name = position > 0 && c == ':';
+      const bool ends_head = position == 0 && c == '\n';
+      if (IsHeaderNameCharacter(c) || ends_name || ends_head) {
+        continue;
+      }
+      std::string odd = name;
+      odd.at(position) = c;
+      CheckNoResponse("HTTP/1.1 200 OK\r\n" + odd + ": 1" + std::string(kRest));
+    }
+  }
+}
+
+// Guards against lines that parsers read in different ways.
+TEST(OddResponse, AnAmbiguousLineIsNoResponse) {
+  for (const std::string_view line : kAmbiguousLines) {
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nA: b\r\n" + std::string(line) + std::string(kRest);
+    CheckNoResponse(bytes);
+    CHECK_TRUE_TEXT(HasFault(bytes), bytes.c_str());
+  }
+  CheckNoResponse("HTTP/1.1 200 OK\rA: b" + std::string(kRest));
+}
+
+// Guards against the rejection of unusual fields that HTTP allows.
+TEST(OddResponse, EachFieldOfHttpIsAccepted) {
+  asio::io_context loop;
+  for (const std::string_view line :
+       {"A:b", "A:", "A: \t b \t", "A: b\tc", "A: \x80\xff",
+        "!#$%&'*+-.^_`|~09: odd", "A: b: c", "A:::"}) {
+    const std::string bytes =
+        "HTTP/1.1 200 \r\n" + std::string(line) + std::string(kRest);
+    ScriptedServer server(loop, [&](const ScriptedServer::Request&) {
+      return ScriptedServer::Reply{bytes};
+    });
+    for (const auto& client : MakeClients(loop)) {
+      const Outcome outcome = Call(loop, *client, server.Address());
+      CHECK_TRUE_TEXT(outcome.complete, bytes.c_str());
+      STRCMP_EQUAL_TEXT("done", outcome.body.c_str(), bytes.c_str());
+    }
+    CHECK_FALSE_TEXT(HasFault(bytes), bytes.c_str());
+  }
+}
