Log the fencing token of each order

The log had the holder, the engine and the version of an order, but not the token, so that a token that was used twice could not be told from two holders with tokens of their own (review/2). No behaviour changes.

--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -489,8 +489,10 @@
   // Upstreams that do not check the fencing token still require one.
   order.fence = m_lease.groups.at(kLeaseGroup).offset;
   order.orders_accepted = effect.orders_accepted;
+  const std::string fence = std::to_string(order.fence);
   const std::array fields{DecisionLogField{"upstream", order.engine.upstream},
-                          DecisionLogField{"version", effect.value}};
+                          DecisionLogField{"version", effect.value},
+                          DecisionLogField{"fence", fence}};
   m_log.Write(DecisionLog::Level::kState, "weights_ordered", fields);
   StepRollout(rollout::LoadOrdered{effect.upstream});
   m_engines.SendOrder(
