Give no fencing token twice after the store came back from an older copy

Cause, as far as a record can come to have the token of another: the token was the offset of the lease record, and the conditional append of the store makes offsets unique. A store that comes back from a copy some seconds old gives offsets out again (NEWS.md), so a claim after that gets the token of one that is gone. Nothing read the header by which the store says so. The holder also kept a base that the store had lost, and a daemon that started then claimed at once, whoever still held the lease.

The token is made of epoch and offset. Lease records name their epoch; those of other epochs do not count. When the epoch rises, the lease topic is read from its beginning, the holder claims again at once, and others wait for the lease time, as after an unreleased lease. Stores without an epoch are used as before, with the same tokens. The stand-in of the store can come back from an older copy.

--- a/packages/codec/src/json/lease_json.cc
+++ b/packages/codec/src/json/lease_json.cc
@@ -42,6 +42,9 @@
                           {"incarnation", record.holder.incarnation},
                           {"nonce", record.nonce},
                           {"base", record.base}};
+  if (record.epoch != 0) {
+    document["epoch"] = record.epoch;
+  }
   if (record.release) {
     document["release"] = EncodeRelease(*record.release);
   }
@@ -58,6 +61,9 @@
         ReadInteger<std::uint64_t>(document.at("incarnation"));
     record.nonce = ReadInteger<std::uint64_t>(document.at("nonce"));
     record.base = ReadInteger<std::uint64_t>(document.at("base"));
+    if (const auto epoch = document.find("epoch"); epoch != document.end()) {
+      record.epoch = ReadInteger<std::uint32_t>(*epoch);
+    }
     if (const auto release = document.find("release");
         release != document.end()) {
       record.release = DecodeRelease(*release);
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -209,7 +209,7 @@
     }
   }
   const auto lease = nlohmann::json::parse(
-      EncodeLease(lease::LeaseRecord{"weights", {"e1", 3}, 4, 5}));
+      EncodeLease(lease::LeaseRecord{"weights", {"e1", 3}, 4, 5, 6}));
   for (const nlohmann::json& variant : ReplaceEachNumber(lease, 1e300)) {
     CHECK_THROWS(CodecError, DecodeLease(variant.dump()));
   }
@@ -218,6 +218,7 @@
       {"e1", 3},
       4,
       5,
+      6,
       lease::LeaseRelease{std::chrono::milliseconds(1500)}}))["release"];
   for (const nlohmann::json& variant : ReplaceEachNumber(release, 1e300)) {
     nlohmann::json record = lease;
@@ -356,14 +357,16 @@
   }
 }
 
-// Guards against a lease record whose holder changes in encoding or decoding.
+// Guards against a lease record whose holder or epoch changes in encoding or
+// decoding.
 TEST(ForwarderCodec, LeasesRoundTrip) {
-  const lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5};
+  const lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5, 6};
   const auto decoded = DecodeLease(EncodeLease(record));
   STRCMP_EQUAL("weights", decoded.group.c_str());
   CHECK(decoded.holder == record.holder);
   UNSIGNED_LONGS_EQUAL(4, decoded.nonce);
   UNSIGNED_LONGS_EQUAL(5, decoded.base);
+  UNSIGNED_LONGS_EQUAL(6, decoded.epoch);
 }
 
 // Guards against a release that is read as a renewal, or whose age grows: the
--- a/packages/core/include/jasminehatch/detail/lease/event.h
+++ b/packages/core/include/jasminehatch/detail/lease/event.h
@@ -65,6 +65,13 @@
   bool at_end = false;  ///< The log had no further record.
 };
 
+/// The log of the lease stream came back from an older copy: records that were
+/// read before may be gone, and offsets are assigned again. The records of the
+/// new epoch are read from the beginning.
+struct LeaseLogRestored {
+  std::uint32_t epoch = 0;  ///< Higher than all earlier ones.
+};
+
 /// @brief How an order ended.
 enum class OrderOutcome : std::uint8_t {
   kAnswered,  ///< Accepted, or a repeat would have the same answer.
@@ -98,6 +105,7 @@
                            StateReported,
                            AppendFailed,
                            LeaseRecordsRead,
+                           LeaseLogRestored,
                            OrderEnded,
                            LeaseWanted,
                            ShutdownRequested,
--- a/packages/core/include/jasminehatch/detail/lease/lease_record.h
+++ b/packages/core/include/jasminehatch/detail/lease/lease_record.h
@@ -29,13 +29,15 @@
 /// zone.
 ///
 /// A record is accepted when `base` is the offset of the group's last accepted
-/// record, so that every reader agrees on the holder. The offset of the record
-/// is the fencing token.
+/// record, so that every reader agrees on the holder. The epoch and the offset
+/// of the record make up the fencing token.
 struct LeaseRecord {
   std::string group;
   Process holder;
   std::uint64_t nonce = 0;
   std::uint64_t base = 0;  ///< Zero if no record was accepted before.
+  /// Epoch of the log that `base` belongs to; zero if the log has none.
+  std::uint32_t epoch = 0;
   std::optional<LeaseRelease> release;  ///< Empty in claims and renewals.
 };
 
--- a/packages/core/include/jasminehatch/detail/lease/state.h
+++ b/packages/core/include/jasminehatch/detail/lease/state.h
@@ -60,9 +60,20 @@
   std::optional<MonotonicTime> read_to_end_at;
   bool reading = false;
   bool shutting_down = false;
+  std::uint32_t epoch = 0;  ///< Epoch of the log; zero if it has none.
+  /// When this process learned that records of the log may be gone. Others may
+  /// hold leases by such records.
+  std::optional<MonotonicTime> records_lost_at;
   std::uint64_t next_nonce = 1;
   std::optional<MonotonicTime> next_timer;
 
+  /// @return the fencing token of a group's last accepted record, which is
+  /// higher than those of all earlier records, also of earlier epochs
+  std::uint64_t FencingToken(const Group& group) const {
+    constexpr unsigned kOffsetBits = 32;
+    return (std::uint64_t{epoch} << kOffsetBits) + group.offset;
+  }
+
   /// @return when the next `TimerFired` is due, if at all
   std::optional<MonotonicTime> NextTimer() const { return next_timer; }
 };
--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -44,6 +44,7 @@
   void Apply(const StateReported& event);
   void Apply(const AppendFailed& event);
   void Apply(const LeaseRecordsRead& event);
+  void Apply(const LeaseLogRestored& event);
   void Apply(const OrderEnded& event);
   void Apply(const LeaseWanted& event) {
     m_state.groups[event.group].wanted = event.wanted;
@@ -61,6 +62,9 @@
 
  private:
   void RepeatSoon(Group& group, const OrderEnded& event);
+  bool IsOfThisEpoch(const LeaseRecord& record) const;
+  bool Holds(const Group& group) const;
+  void ForgetRecords(Group& group);
   void Accept(Group& group, std::uint64_t offset, const LeaseRecord& record);
   void AppendClaim(const std::string& name, Group& group);
   void AppendRelease(const std::string& name, Group& group);
@@ -120,7 +124,8 @@
 void Reducer::Apply(const LeaseRecordsRead& event) {
   for (const OffsetRecord& read : event.records) {
     Group& group = m_state.groups[read.record.group];
-    if (read.record.base == group.offset && read.offset > group.offset) {
+    if (IsOfThisEpoch(read.record) && read.record.base == group.offset &&
+        read.offset > group.offset) {
       Accept(group, read.offset, read.record);
     }
   }
@@ -130,6 +135,39 @@
   }
 }
 
+/// @return whether the record's base is an offset of the current epoch. Daemons
+/// of earlier releases write no epoch.
+bool Reducer::IsOfThisEpoch(const LeaseRecord& record) const {
+  return record.epoch == 0 || record.epoch == m_state.epoch;
+}
+
+void Reducer::Apply(const LeaseLogRestored& event) {
+  m_state.epoch = event.epoch;
+  m_state.records_lost_at = m_now;
+  m_state.read_to_end_at.reset();
+  m_state.reading = false;
+  for (auto& [name, group] : m_state.groups) {
+    ForgetRecords(group);
+  }
+}
+
+bool Reducer::Holds(const Group& group) const {
+  return group.offset != 0 && group.holder == m_state.self &&
+         m_now < group.held_until;
+}
+
+/// Forgets who holds the lease. Records that this process has not read may be
+/// gone with those that it has, so it knows only its own lease.
+void Reducer::ForgetRecords(Group& group) {
+  if (!Holds(group)) {
+    group.holder = {};
+  }
+  group.offset = 0;
+  group.release.reset();
+  group.sent.clear();
+  group.retry_at.reset();
+}
+
 void Reducer::Apply(const OrderEnded& event) {
   const auto group = m_state.groups.find(event.group);
   if (group != m_state.groups.end() && group->second.orders_in_flight > 0) {
@@ -157,7 +195,7 @@
 void Reducer::Accept(Group& group,
                      std::uint64_t offset,
                      const LeaseRecord& record) {
-  const bool same_holder = group.offset != 0 && group.holder == record.holder;
+  const bool same_holder = group.holder == record.holder;
   group.offset = offset;
   group.holder = record.holder;
   group.read_at = m_now;
@@ -214,7 +252,7 @@
   });
   group.sent.emplace(nonce, m_now);
   m_effects.emplace_back(
-      AppendLease{{name, m_state.self, nonce, group.offset, std::nullopt}});
+      AppendLease{{name, m_state.self, nonce, group.offset, m_state.epoch}});
 }
 
 /// Releases the lease. An order in flight may arrive later, so its end is
@@ -236,8 +274,9 @@
     return;
   }
   if (MayAppend(group)) {
-    m_effects.emplace_back(AppendLease{
-        {name, m_state.self, m_state.next_nonce++, group.offset, release}});
+    m_effects.emplace_back(
+        AppendLease{{name, m_state.self, m_state.next_nonce++, group.offset,
+                     m_state.epoch, release}});
   }
 }
 
@@ -250,9 +289,14 @@
   if (holds) {
     return group.sent_at + m_state.options.renew_after;
   }
-  if (group.offset == 0 || group.holder == m_state.self) {
+  if (group.holder == m_state.self) {
     return m_now;
   }
+  if (group.offset == 0) {
+    return m_state.records_lost_at
+               ? *m_state.records_lost_at + m_state.options.lease_time
+               : m_now;
+  }
   if (!group.release) {
     // The holder sent the record before this process read it, and stops before
     // the lease time has passed since it sent the record.
@@ -272,7 +316,7 @@
     // before the outcome of the release is known.
     group.held_until = MonotonicTime::min();
   }
-  const bool holds = is_holder && m_now < group.held_until;
+  const bool holds = Holds(group);
   if (holds != std::exchange(group.reported_holding, holds)) {
     m_effects.emplace_back(HolderChanged{name, holds});
   }
@@ -384,7 +428,7 @@
         name,         upstream_name,    kind,        std::move(value),
         std::nullopt, group.held_until, std::nullopt};
     if (upstream.checks_fencing) {
-      effect.fence = group.offset;
+      effect.fence = m_state.FencingToken(group);
     }
     if (upstream.checks_order_count) {
       effect.orders_accepted = upstream.orders_accepted;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
@@ -34,6 +34,9 @@
     /// The append failed, its outcome is unknown, or another record precedes
     /// it. The topic is read again afterwards.
     std::function<void()> on_append_failed;
+    /// The store reported its first epoch or a higher one, so that records that
+    /// were read may be gone. The topic is read again from its beginning.
+    std::function<void(const lease::LeaseLogRestored&)> on_restored;
   };
 
   LeaseTopic(const Clock& clock,
@@ -51,13 +54,15 @@
   MonotonicTime LastReadAt() const { return m_last_read_at; }
 
  private:
-  void OnPage(const platform::StorePage& page);
+  void OnPage(std::uint64_t from, const platform::StorePage& page);
+  void StartEpoch(std::uint32_t epoch);
 
   const Clock& m_clock;
   platform::StoreClient& m_store;
   telemetry::DecisionLog& m_log;
   Callbacks m_callbacks;
   std::uint64_t m_next_offset = 0;
+  std::uint32_t m_epoch = 0;  ///< Epoch of the store that offsets belong to.
   MonotonicTime m_last_read_at{};
   bool m_read_pending = false;
 };
--- a/packages/daemon/src/forwarder/lease_topic.cc
+++ b/packages/daemon/src/forwarder/lease_topic.cc
@@ -31,22 +31,42 @@
   m_last_read_at = m_clock.Now();
   m_store.Read(platform::kLeaseTopic, m_next_offset,
                std::chrono::milliseconds(0),
-               [this](const platform::StorePage& page) {
+               [this, from = m_next_offset](const platform::StorePage& page) {
                  m_read_pending = false;
-                 OnPage(page);
+                 OnPage(from, page);
                });
 }
 
-void LeaseTopic::OnPage(const platform::StorePage& page) {
-  if (page.status == platform::StorePage::Status::kCompacted) {
-    m_next_offset = page.first;
+void LeaseTopic::StartEpoch(std::uint32_t epoch) {
+  m_epoch = epoch;
+  m_next_offset = 0;
+  const std::string number = std::to_string(epoch);
+  const std::array fields{DecisionLogField{"epoch", number}};
+  m_log.Write(DecisionLog::Level::kState, "lease_log_restored", fields);
+  m_callbacks.on_restored({epoch});
+}
+
+void LeaseTopic::OnPage(std::uint64_t from, const platform::StorePage& page) {
+  if (page.epoch > m_epoch) {
+    StartEpoch(page.epoch);
     Read();
     return;
   }
-  if (page.status == platform::StorePage::Status::kFailed) {
+  if (page.status == platform::StorePage::Status::kFailed ||
+      page.epoch < m_epoch) {
     m_callbacks.on_read_failed();
     return;
   }
+  if (from > m_next_offset) {
+    // The offset belongs to an earlier epoch.
+    Read();
+    return;
+  }
+  if (page.status == platform::StorePage::Status::kCompacted) {
+    m_next_offset = page.first;
+    Read();
+    return;
+  }
   lease::LeaseRecordsRead read;
   for (const platform::StoreRecord& record : page.records) {
     m_next_offset = record.offset + 1;
@@ -71,8 +91,12 @@
       platform::kLeaseTopic, codec::EncodeLease(record), at,
       [this, record, at](const platform::StoreAppendResult& outcome) {
         using Status = platform::StoreAppendResult::Status;
+        if (outcome.epoch > m_epoch) {
+          StartEpoch(outcome.epoch);
+        }
         if (outcome.status == Status::kAppended && outcome.offset == at &&
-            m_next_offset == at) {
+            m_next_offset == at && outcome.epoch == record.epoch &&
+            record.epoch == m_epoch) {
           m_next_offset = at + 1;
           lease::LeaseRecordsRead read;
           read.records.push_back({at + 1, record});
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -150,6 +150,9 @@
   callbacks.on_append_failed = [this] {
     StepLease(lease::AppendFailed{kLeaseGroup});
   };
+  callbacks.on_restored = [this](const lease::LeaseLogRestored& restored) {
+    StepLease(restored);
+  };
   return callbacks;
 }
 
@@ -487,7 +490,7 @@
   order.run_policy = platform::ActiveRunPolicy::kContinue;
   order.holder = m_options.daemon;
   // Upstreams that do not check the fencing token still require one.
-  order.fence = m_lease.groups.at(kLeaseGroup).offset;
+  order.fence = m_lease.FencingToken(m_lease.groups.at(kLeaseGroup));
   order.orders_accepted = effect.orders_accepted;
   const std::string fence = std::to_string(order.fence);
   const std::array fields{DecisionLogField{"upstream", order.engine.upstream},
--- a/packages/daemon/tests/forwarder_fixture.cc
+++ b/packages/daemon/tests/forwarder_fixture.cc
@@ -40,14 +40,20 @@
         std::make_unique<emulator::UpstreamEmulator>(m_loop, id));
     Register(*m_upstreams.back(), false);
   }
-  m_settings.name = "e1";
   m_settings.zone = "a";
-  m_settings.address = m_host.NewTcpAddress(m_loop);
-  m_settings.ready_address = m_host.NewTcpAddress(m_loop);
-  m_settings.metrics_address = m_host.NewTcpAddress(m_loop);
   m_settings.store_address = m_platform.Address();
   m_settings.stop_grace = stop_grace;
   m_settings.revoke_limit = std::chrono::milliseconds(2500);
+  m_settings.lease_time = std::chrono::milliseconds(500);
+  ReplaceDaemon("e1");
+}
+
+void ForwarderFixture::ReplaceDaemon(const std::string& name) {
+  m_daemon.reset();
+  m_settings.name = name;
+  m_settings.address = m_host.NewTcpAddress(m_loop);
+  m_settings.ready_address = m_host.NewTcpAddress(m_loop);
+  m_settings.metrics_address = m_host.NewTcpAddress(m_loop);
   m_daemon = std::make_unique<Forwarder>(m_loop, m_settings, m_clock, 1,
                                          m_log_descriptor);
 }
--- a/packages/daemon/tests/forwarder_fixture.h
+++ b/packages/daemon/tests/forwarder_fixture.h
@@ -60,6 +60,9 @@
 
   void SetBehaviour(const emulator::UpstreamEmulator::Behaviour& behaviour);
 
+  /// Ends the daemon without a stop and starts another one.
+  void ReplaceDaemon(const std::string& name);
+
   /// Replaces both upstreams by the one at this address, and waits until the
   /// daemon knows.
   void UseOnly(const std::string& address);
--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -58,6 +58,14 @@
   /// readable.
   void Compact(const std::string& topic);
 
+  /// Makes the store come back from an older copy in which a topic without keys
+  /// ends at the offset `end`: drops the later records and raises the epoch,
+  /// which each response names. All other topics stay as they are.
+  void RestoreOlderCopy(const std::string& topic, std::uint64_t end);
+
+  /// @return the offset after the newest record of a topic
+  std::uint64_t End(const std::string& topic) const;
+
   /// While the store is down, each call gets status 503.
   void SetDown(bool down) { m_down = down; }
 
@@ -84,12 +92,17 @@
 
   void Handle(const net::HttpRequest& request,
               const std::shared_ptr<net::ResponseWriter>& writer);
+  void Send(net::ResponseWriter& writer,
+            int status,
+            const std::string& body) const;
   void Read(const net::HttpRequest& request,
             const std::shared_ptr<net::ResponseWriter>& writer);
   void ReadNewest(const net::HttpRequest& request, net::ResponseWriter& writer);
   void Append(const net::HttpRequest& request, net::ResponseWriter& writer);
   void AddRecord(const std::string& topic, const std::string& content);
-  std::string BuildPage(const Topic& topic, std::uint64_t from) const;
+  void SendPage(net::ResponseWriter& writer,
+                const Topic& topic,
+                std::uint64_t from) const;
   void CompletePendingReads(const std::string& topic);
 
   asio::io_context& m_loop;
@@ -97,6 +110,7 @@
   std::map<std::string, Topic> m_topics;
   std::vector<std::shared_ptr<PendingRead>> m_pending_reads;
   std::uint64_t m_calls = 0;
+  std::uint64_t m_epoch = 1;
   bool m_down = false;
 };
 
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -126,7 +126,7 @@
     const std::shared_ptr<net::ResponseWriter>& writer) {
   ++m_calls;
   if (m_down) {
-    writer->Send(503, {}, "");
+    Send(*writer, 503, "");
   } else if (request.path == "/log-read") {
     Read(request, writer);
   } else if (request.path == "/log-newest") {
@@ -134,18 +134,44 @@
   } else if (request.path == "/log-append") {
     Append(request, *writer);
   } else {
-    writer->Send(404, {}, "");
+    Send(*writer, 404, "");
   }
 }
 
-std::string PlatformEmulator::BuildPage(const Topic& topic,
-                                        std::uint64_t from) const {
+void PlatformEmulator::RestoreOlderCopy(const std::string& topic,
+                                        std::uint64_t end) {
+  Topic& target = m_topics[topic];
+  ++m_epoch;
+  target.records.resize(std::min<std::size_t>(
+      target.records.size(), end - std::min(end, target.first)));
+  CompletePendingReads(topic);
+}
+
+std::uint64_t PlatformEmulator::End(const std::string& topic) const {
+  const auto found = m_topics.find(topic);
+  return found != m_topics.end() ? found->second.End() : 0;
+}
+
+void PlatformEmulator::Send(net::ResponseWriter& writer,
+                            int status,
+                            const std::string& body) const {
+  writer.Send(status, {{"Store-Era", std::to_string(m_epoch)}}, body);
+}
+
+/// Sends the records from an offset on, or 410 if the store does not have it.
+void PlatformEmulator::SendPage(net::ResponseWriter& writer,
+                                const Topic& topic,
+                                std::uint64_t from) const {
+  if (from < topic.first || from > topic.End()) {
+    Send(writer, 410, json{{"first", topic.first}}.dump());
+    return;
+  }
   std::string page = BigEndian(topic.End(), 8) + BigEndian(topic.first, 8);
   for (std::uint64_t at = from; at < topic.End(); ++at) {
     const std::string& record = topic.records.at(at - topic.first);
     page += BigEndian(record.size(), 4) + record;
   }
-  return page;
+  Send(writer, 200, page);
 }
 
 void PlatformEmulator::Read(
@@ -156,12 +182,8 @@
   const auto from = ParseNumber(net::FindQueryParameter(request.query, "from"));
   const auto wait =
       ParseNumber(net::FindQueryParameter(request.query, "waitMs"));
-  if (from < topic.first) {
-    writer->Send(410, {}, json{{"first", topic.first}}.dump());
-    return;
-  }
-  if (from < topic.End() || wait == 0) {
-    writer->Send(200, {}, BuildPage(topic, from));
+  if (from != topic.End() || wait == 0) {
+    SendPage(*writer, topic, from);
     return;
   }
   auto pending = std::make_shared<PendingRead>(PendingRead{
@@ -170,8 +192,7 @@
   pending->timer->expires_after(std::chrono::milliseconds(wait));
   pending->timer->async_wait([this, pending](const asio::error_code& error) {
     if (!error && std::erase(m_pending_reads, pending) > 0) {
-      pending->writer->Send(200, {},
-                            BuildPage(m_topics[pending->topic], pending->from));
+      SendPage(*pending->writer, m_topics[pending->topic], pending->from);
     }
   });
 }
@@ -184,12 +205,7 @@
     }
     std::erase(m_pending_reads, reader);
     reader->timer->cancel();
-    const Topic& target = m_topics[topic];
-    if (reader->from < target.first) {
-      reader->writer->Send(410, {}, json{{"first", target.first}}.dump());
-    } else {
-      reader->writer->Send(200, {}, BuildPage(target, reader->from));
-    }
+    SendPage(*reader->writer, m_topics[topic], reader->from);
   }
 }
 
@@ -202,8 +218,8 @@
                      {"value", Base64(entry.second)},
                      {"offset", entry.first}});
   }
-  writer.Send(
-      200, {{"Content-Type", "application/json"}},
+  Send(
+      writer, 200,
       json{
           {"items", std::move(items)}, {"hasMore", false}, {"end", topic.End()}}
           .dump());
@@ -215,7 +231,7 @@
   const Topic& topic = m_topics[name];
   const std::string_view at = net::FindQueryParameter(request.query, "at");
   if (!at.empty() && ParseNumber(at) != topic.End()) {
-    writer.Send(412, {}, json{{"end", topic.End()}}.dump());
+    Send(writer, 412, json{{"end", topic.End()}}.dump());
     return;
   }
   const std::uint64_t offset = topic.End();
@@ -229,7 +245,7 @@
     AddRecord(name, std::string(body.substr(0, length)));
     body.remove_prefix(std::min(length, body.size()));
   }
-  writer.Send(200, {}, json{{"offset", offset}, {"end", topic.End()}}.dump());
+  Send(writer, 200, json{{"offset", offset}, {"end", topic.End()}}.dump());
 }
 
 }  // namespace jasminehatch::emulator
