Keep one holder when lease records expire before all daemons have read them

Cause: a record counts if its base is the last record that the reader has accepted. A daemon that was away from the topic while records expired, or started after that, knows no base of a later record, ignores the claims of all others and claims by a base of its own, which they ignore.

Change: a daemon that missed records accepts the next one, and says in its own claim that it missed some, so that others accept it. That is safe since the store appends a lease record only at the end that its writer has read. Until it has read a record, it waits for the lease time before a claim: another one may hold the lease. Daemons that took part in a rollout read the release at its end, so that they seldom miss it.

--- a/packages/codec/src/json/lease_json.cc
+++ b/packages/codec/src/json/lease_json.cc
@@ -45,6 +45,9 @@
   if (record.epoch != 0) {
     document["epoch"] = record.epoch;
   }
+  if (record.follows_gap) {
+    document["follows_gap"] = true;
+  }
   if (record.release) {
     document["release"] = EncodeRelease(*record.release);
   }
@@ -64,6 +67,7 @@
     if (const auto epoch = document.find("epoch"); epoch != document.end()) {
       record.epoch = ReadInteger<std::uint32_t>(*epoch);
     }
+    record.follows_gap = document.value("follows_gap", false);
     if (const auto release = document.find("release");
         release != document.end()) {
       record.release = DecodeRelease(*release);
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -219,6 +219,7 @@
       4,
       5,
       6,
+      false,
       lease::LeaseRelease{std::chrono::milliseconds(1500)}}))["release"];
   for (const nlohmann::json& variant : ReplaceEachNumber(release, 1e300)) {
     nlohmann::json record = lease;
@@ -357,16 +358,17 @@
   }
 }
 
-// Guards against a lease record whose holder or epoch changes in encoding or
-// decoding.
+// Guards against a lease record whose holder, epoch or gap changes in encoding
+// or decoding.
 TEST(ForwarderCodec, LeasesRoundTrip) {
-  const lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5, 6};
+  const lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5, 6, true};
   const auto decoded = DecodeLease(EncodeLease(record));
   STRCMP_EQUAL("weights", decoded.group.c_str());
   CHECK(decoded.holder == record.holder);
   UNSIGNED_LONGS_EQUAL(4, decoded.nonce);
   UNSIGNED_LONGS_EQUAL(5, decoded.base);
   UNSIGNED_LONGS_EQUAL(6, decoded.epoch);
+  CHECK(decoded.follows_gap);
 }
 
 // Guards against a release that is read as a renewal, or whose age grows: the
@@ -375,6 +377,7 @@
 TEST(ForwarderCodec, LeaseReleasesRoundTrip) {
   lease::LeaseRecord record{"weights", {"e1", 3}, 4, 5};
   CHECK(!DecodeLease(EncodeLease(record)).release);
+  CHECK(!DecodeLease(EncodeLease(record)).follows_gap);
   record.release.emplace();
   const auto unused = DecodeLease(EncodeLease(record)).release;
   CHECK(unused && !unused->since_last_order);
--- a/packages/core/include/jasminehatch/detail/lease/event.h
+++ b/packages/core/include/jasminehatch/detail/lease/event.h
@@ -65,11 +65,12 @@
   bool at_end = false;  ///< The log had no further record.
 };
 
-/// The log of the lease stream came back from an older copy: records that were
-/// read before may be gone, and offsets are assigned again. The records of the
-/// new epoch are read from the beginning.
-struct LeaseLogRestored {
-  std::uint32_t epoch = 0;  ///< Higher than all earlier ones.
+/// Records of the lease stream may be gone that this process has not read. In
+/// the known epoch they expired; the oldest ones that are left are read next.
+/// In a higher one the log came back from an older copy and assigns offsets
+/// again; its records are read from the beginning.
+struct LeaseRecordsLost {
+  std::uint32_t epoch = 0;  ///< Of the records that are read next.
 };
 
 /// @brief How an order ended.
@@ -105,7 +106,7 @@
                            StateReported,
                            AppendFailed,
                            LeaseRecordsRead,
-                           LeaseLogRestored,
+                           LeaseRecordsLost,
                            OrderEnded,
                            LeaseWanted,
                            ShutdownRequested,
--- a/packages/core/include/jasminehatch/detail/lease/lease_record.h
+++ b/packages/core/include/jasminehatch/detail/lease/lease_record.h
@@ -29,7 +29,10 @@
 /// zone.
 ///
 /// A record is accepted when `base` is the offset of the group's last accepted
-/// record, so that every reader agrees on the holder. The epoch and the offset
+/// record, so that every reader agrees on the holder. A reader that has missed
+/// records accepts the next one, and all accept one whose writer has missed
+/// some: a log that loses records appends one only at the end that its writer
+/// has read, so that such a record follows all others. The epoch and the offset
 /// of the record make up the fencing token.
 struct LeaseRecord {
   std::string group;
@@ -38,6 +41,7 @@
   std::uint64_t base = 0;  ///< Zero if no record was accepted before.
   /// Epoch of the log that `base` belongs to; zero if the log has none.
   std::uint32_t epoch = 0;
+  bool follows_gap = false;             ///< The writer does not know the base.
   std::optional<LeaseRelease> release;  ///< Empty in claims and renewals.
 };
 
--- a/packages/core/include/jasminehatch/detail/lease/state.h
+++ b/packages/core/include/jasminehatch/detail/lease/state.h
@@ -34,6 +34,8 @@
 struct Group {
   std::map<std::string, Upstream> upstreams;
   std::uint64_t offset = 0;  ///< Of the last accepted record; zero for none.
+  /// Records before the next one are gone, so that its base is not known.
+  bool follows_gap = false;
   Process holder;
   MonotonicTime read_at{};     ///< When the last accepted record was read.
   MonotonicTime sent_at{};     ///< When this process sent that record.
--- a/packages/core/src/lease/step.cc
+++ b/packages/core/src/lease/step.cc
@@ -44,7 +44,7 @@
   void Apply(const StateReported& event);
   void Apply(const AppendFailed& event);
   void Apply(const LeaseRecordsRead& event);
-  void Apply(const LeaseLogRestored& event);
+  void Apply(const LeaseRecordsLost& event);
   void Apply(const OrderEnded& event);
   void Apply(const LeaseWanted& event) {
     m_state.groups[event.group].wanted = event.wanted;
@@ -62,7 +62,7 @@
 
  private:
   void RepeatSoon(Group& group, const OrderEnded& event);
-  bool IsOfThisEpoch(const LeaseRecord& record) const;
+  bool Follows(const Group& group, const OffsetRecord& read) const;
   bool Holds(const Group& group) const;
   void ForgetRecords(Group& group);
   void Accept(Group& group, std::uint64_t offset, const LeaseRecord& record);
@@ -124,8 +124,7 @@
 void Reducer::Apply(const LeaseRecordsRead& event) {
   for (const OffsetRecord& read : event.records) {
     Group& group = m_state.groups[read.record.group];
-    if (IsOfThisEpoch(read.record) && read.record.base == group.offset &&
-        read.offset > group.offset) {
+    if (Follows(group, read)) {
       Accept(group, read.offset, read.record);
     }
   }
@@ -135,13 +134,18 @@
   }
 }
 
-/// @return whether the record's base is an offset of the current epoch. Daemons
-/// of earlier releases write no epoch.
-bool Reducer::IsOfThisEpoch(const LeaseRecord& record) const {
-  return record.epoch == 0 || record.epoch == m_state.epoch;
+/// @return whether the record is to be accepted
+bool Reducer::Follows(const Group& group, const OffsetRecord& read) const {
+  // Daemons of earlier releases write no epoch.
+  if (read.record.epoch != 0 && read.record.epoch != m_state.epoch) {
+    return false;
+  }
+  const bool knows_base = !group.follows_gap && !read.record.follows_gap;
+  return read.offset > group.offset &&
+         (!knows_base || read.record.base == group.offset);
 }
 
-void Reducer::Apply(const LeaseLogRestored& event) {
+void Reducer::Apply(const LeaseRecordsLost& event) {
   m_state.epoch = event.epoch;
   m_state.records_lost_at = m_now;
   m_state.read_to_end_at.reset();
@@ -163,6 +167,7 @@
     group.holder = {};
   }
   group.offset = 0;
+  group.follows_gap = true;
   group.release.reset();
   group.sent.clear();
   group.retry_at.reset();
@@ -197,6 +202,7 @@
                      const LeaseRecord& record) {
   const bool same_holder = group.holder == record.holder;
   group.offset = offset;
+  group.follows_gap = false;
   group.holder = record.holder;
   group.read_at = m_now;
   group.held_until = MonotonicTime::min();
@@ -251,8 +257,8 @@
     return sent.second + m_state.options.lease_time <= m_now;
   });
   group.sent.emplace(nonce, m_now);
-  m_effects.emplace_back(
-      AppendLease{{name, m_state.self, nonce, group.offset, m_state.epoch}});
+  m_effects.emplace_back(AppendLease{{name, m_state.self, nonce, group.offset,
+                                      m_state.epoch, group.follows_gap}});
 }
 
 /// Releases the lease. An order in flight may arrive later, so its end is
@@ -276,7 +282,7 @@
   if (MayAppend(group)) {
     m_effects.emplace_back(
         AppendLease{{name, m_state.self, m_state.next_nonce++, group.offset,
-                     m_state.epoch, release}});
+                     m_state.epoch, group.follows_gap, release}});
   }
 }
 
--- a/packages/core/tests/lease_log_property_test.cc
+++ b/packages/core/tests/lease_log_property_test.cc
@@ -37,20 +37,23 @@
   kWant,
   kUnwant,
   kRestore,
+  kExpire,
   kCount
 };
 
 using Weights = std::array<int, static_cast<std::size_t>(Action::kCount)>;
 
 /// By the order of `Action`.
-constexpr Weights kRestores{40, 40, 40, 4, 12, 2, 6, 2, 8, 3, 2};
+constexpr Weights kRestores{40, 40, 40, 4, 12, 2, 6, 2, 8, 3, 2, 0};
+constexpr Weights kExpiry{40, 30, 40, 4, 12, 2, 6, 2, 8, 3, 0, 4};
+constexpr Weights kRestoresAndExpiry{40, 30, 40, 4, 12, 2, 6, 2, 8, 3, 2, 4};
 
 /// The lease passes on often, and little time passes in between.
-constexpr Weights kHandOvers{20, 60, 60, 0, 12, 0, 0, 1, 16, 10, 2};
+constexpr Weights kHandOvers{20, 60, 60, 0, 12, 0, 0, 1, 16, 10, 2, 2};
 
 /// @brief Three daemons and a log. Records are appended only at the end that
-/// the writer has read. The log may come back from an older copy, in a new
-/// epoch.
+/// the writer has read. The oldest ones expire. The log may come back from an
+/// older copy, in a new epoch.
 class Simulation {
  public:
   explicit Simulation(std::uint64_t seed) : m_random(seed) {
@@ -150,7 +153,10 @@
         return Step(process, lease::LeaseWanted{"group", false});
       case Action::kRestore:
         ++m_epoch;
-        m_log.resize(m_log.size() - Draw(m_log.size() + 1));
+        m_log.resize(m_first + Draw(m_log.size() - m_first + 1));
+        return;
+      case Action::kExpire:
+        m_first += Draw(m_log.size() - m_first + 1);
         return;
       case Action::kCount:
         return;
@@ -210,6 +216,10 @@
       return;
     }
     StartEpoch(process);
+    if (reader.next_offset < m_first) {
+      reader.next_offset = m_first;
+      Step(process, lease::LeaseRecordsLost{m_epoch});
+    }
     lease::LeaseRecordsRead event;
     for (; reader.next_offset < m_log.size(); ++reader.next_offset) {
       event.records.push_back(
@@ -224,7 +234,7 @@
     if (reader.epoch != m_epoch) {
       reader.epoch = m_epoch;
       reader.next_offset = 0;
-      Step(process, lease::LeaseLogRestored{m_epoch});
+      Step(process, lease::LeaseRecordsLost{m_epoch});
     }
   }
 
@@ -293,7 +303,8 @@
 
   std::mt19937_64 m_random;
   std::array<Process, kProcesses> m_processes;
-  std::vector<lease::LeaseRecord> m_log;
+  std::vector<lease::LeaseRecord> m_log;  ///< Also the expired records.
+  std::uint64_t m_first = 0;              ///< Oldest offset that can be read.
   std::uint32_t m_epoch = 1;
   std::vector<PendingAppend> m_appends;
   std::vector<std::size_t> m_reads;  ///< Processes that are to read the log.
@@ -328,5 +339,15 @@
 // came back from an older copy.
 TEST(LeaseLogProperty, ARestoredLogHasOneHolder) {
   CheckSeeds(kRestores);
+}
+
+// Guards against daemons that order at the same time, or all refuse to, since
+// records expired before all of them had read them.
+TEST(LeaseLogProperty, ALogWithExpiredRecordsHasOneHolder) {
+  CheckSeeds(kExpiry);
+}
+
+TEST(LeaseLogProperty, ARestoredLogWithExpiredRecordsHasOneHolder) {
+  CheckSeeds(kRestoresAndExpiry);
   CheckSeeds(kHandOvers);
 }
--- a/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
@@ -34,9 +34,9 @@
     /// The append failed, its outcome is unknown, or another record precedes
     /// it. The topic is read again afterwards.
     std::function<void()> on_append_failed;
-    /// The store reported its first epoch or a higher one, so that records that
-    /// were read may be gone. The topic is read again from its beginning.
-    std::function<void(const lease::LeaseLogRestored&)> on_restored;
+    /// Records expired before they were read, or the store named its first or a
+    /// higher epoch. The records that are left are read afterwards.
+    std::function<void(const lease::LeaseRecordsLost&)> on_records_lost;
   };
 
   LeaseTopic(const Clock& clock,
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -120,6 +120,8 @@
   std::map<std::string, Target> CollectTargets() const;
   void Tick();
   void ContinueRelease();
+  bool AwaitsRelease() const;
+  void ReadReleaseIfDue();
   void Activate();
   void Deactivate();
   void ApplyTargets();
@@ -160,6 +162,7 @@
   relay::Standby m_standby;
   std::size_t m_outdated = 0;  ///< Targets with older weights.
   MonotonicTime m_earliest_claim_at{};
+  MonotonicTime m_done_at{};  ///< End of the latest rollout.
   MonotonicTime m_release_until{};
   bool m_active = false;
   bool m_timer_armed = false;
--- a/packages/daemon/src/forwarder/lease_topic.cc
+++ b/packages/daemon/src/forwarder/lease_topic.cc
@@ -43,7 +43,7 @@
   const std::string number = std::to_string(epoch);
   const std::array fields{DecisionLogField{"epoch", number}};
   m_log.Write(DecisionLog::Level::kState, "lease_log_restored", fields);
-  m_callbacks.on_restored({epoch});
+  m_callbacks.on_records_lost({epoch});
 }
 
 void LeaseTopic::OnPage(std::uint64_t from, const platform::StorePage& page) {
@@ -64,6 +64,8 @@
   }
   if (page.status == platform::StorePage::Status::kCompacted) {
     m_next_offset = page.first;
+    m_log.Write(DecisionLog::Level::kState, "lease_records_expired", {});
+    m_callbacks.on_records_lost({m_epoch});
     Read();
     return;
   }
--- a/packages/daemon/src/forwarder/weights_rollout.cc
+++ b/packages/daemon/src/forwarder/weights_rollout.cc
@@ -36,6 +36,11 @@
 /// during a rollout.
 constexpr milliseconds kLeaseReadInterval{1500};
 
+/// Time after the end of a rollout in which the other daemons read the release
+/// of the lease. One that has not read it when its record expires could claim
+/// the lease only after the lease time.
+constexpr milliseconds kReadReleaseTime{3000};
+
 /// Daemons claim a free lease one after another, this far apart, so that most
 /// of them see the first claim before they make their own.
 constexpr milliseconds kClaimStagger{60};
@@ -150,8 +155,8 @@
   callbacks.on_append_failed = [this] {
     StepLease(lease::AppendFailed{kLeaseGroup});
   };
-  callbacks.on_restored = [this](const lease::LeaseLogRestored& restored) {
-    StepLease(restored);
+  callbacks.on_records_lost = [this](const lease::LeaseRecordsLost& lost) {
+    StepLease(lost);
   };
   return callbacks;
 }
@@ -239,6 +244,7 @@
   m_rollout.expired_loads.clear();
   StepRollout(rollout::TargetsConfigured{});
   m_log.Write(DecisionLog::Level::kState, "rollout_done", {});
+  m_done_at = m_clock.Now();
   StepLease(lease::LeaseWanted{kLeaseGroup, false});
   ArmTimer();
 }
@@ -314,14 +320,38 @@
   });
 }
 
-/// Repeats the release of the lease until its record was read.
+/// Repeats the release of the lease until its record was read, and reads the
+/// release of another daemon.
 void WeightsRollout::ContinueRelease() {
   StepLease(lease::TimerFired{});
-  if (m_lease.NextTimer()) {
+  const bool awaits_release = AwaitsRelease();
+  if (awaits_release) {
+    ReadReleaseIfDue();
+  }
+  if (m_lease.NextTimer() || awaits_release) {
     ArmTimer();
   }
 }
 
+/// @return whether another daemon is going to release the lease
+bool WeightsRollout::AwaitsRelease() const {
+  const MonotonicTime now = m_clock.Now();
+  const lease::Group& group = m_lease.groups.at(kLeaseGroup);
+  return !m_stopped && group.offset != 0 && !group.release &&
+         group.holder != m_lease.self && m_standby.TakesPart(now) &&
+         now < m_done_at + m_options.lease_time + kReadReleaseTime;
+}
+
+void WeightsRollout::ReadReleaseIfDue() {
+  // The holder releases the lease when its last order is this old.
+  const MonotonicTime due =
+      std::max(m_done_at + m_options.lease_time,
+               m_lease_topic.LastReadAt() + kLeaseReadInterval);
+  if (m_clock.Now() >= due) {
+    m_lease_topic.Read();
+  }
+}
+
 void WeightsRollout::Tick() {
   Update();
   if (!m_active || m_stopped) {
