Resume streams only at the software version that began them

Cause: the version of an upstream was not read, so that placement took all upstreams of a service for equal. The version that began a stream is known only to the daemon where it began, which may be gone when the caller resumes the stream elsewhere; versions that left the registry just before the start of a daemon are unknown to it.

Change: a stream of which an event was sent goes on at its own version only. Daemons keep the version under the id of the request that got the first event, which the caller names, and tell each other by gossip while a service runs several versions. A stream of unknown version is resumed if the service had one version for 60 s, and refused at once otherwise. A daemon that starts reads the earlier versions from the records that the store still has. A stream is resumed at the service at which it began.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -12,6 +12,7 @@
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/part_verdict.h"
 #include "jasminehatch/detail/forwarding/publication_age.h"
+#include "jasminehatch/detail/forwarding/stream_origin.h"
 #include "jasminehatch/detail/forwarding/upstream_failure_report.h"
 
 namespace jasminehatch::codec {
@@ -31,6 +32,9 @@
   /// Maximum number of reports of failures; further ones are not decoded.
   static constexpr std::size_t kMaxUpstreamFailures = 64;
 
+  /// Maximum number of origins of streams.
+  static constexpr std::size_t kMaxStreamOrigins = 512;
+
   std::string daemon;
   std::string address;  ///< `ip:port` of the sender.
   std::string zone;
@@ -59,6 +63,8 @@
   std::vector<forwarding::PublicationAge> publications;
   std::vector<forwarding::PartVerdict> part_verdicts;
   std::vector<forwarding::UpstreamFailureReport> upstream_failures;
+  /// Consecutive ones of one service and version are encoded together.
+  std::vector<forwarding::StreamOrigin> stream_origins;
 
   /// @return the message as MessagePack
   std::string Encode() const;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -31,11 +31,16 @@
 constexpr std::size_t kPublicationsIndex = 16;
 constexpr std::size_t kPartVerdictsIndex = 17;
 constexpr std::size_t kUpstreamFailuresIndex = 18;
+constexpr std::size_t kStreamOriginsIndex = 19;
 
 /// A crash report without prompt parts has this number of elements; later
 /// daemons append the parts, which earlier ones ignore.
 constexpr std::size_t kShortCrashReportSize = 2;
 
+/// Longest name of a service or version of an origin that is used; a daemon
+/// keeps thousands of origins.
+constexpr std::size_t kMaxOriginNameBytes = 256;
+
 std::int64_t AgeInMilliseconds(Duration age) {
   return std::chrono::ceil<std::chrono::milliseconds>(
              std::max(age, Duration::zero()))
@@ -144,6 +149,41 @@
   return reports;
 }
 
+/// Encodes origins as lists of a service, a version and its streams.
+json EncodeStreamOrigins(const std::vector<forwarding::StreamOrigin>& origins) {
+  json groups = json::array();
+  const forwarding::StreamOrigin* previous = nullptr;
+  for (const forwarding::StreamOrigin& origin : origins) {
+    if (previous == nullptr || previous->service != origin.service ||
+        previous->software_version != origin.software_version) {
+      groups.push_back(json::array(
+          {origin.service, origin.software_version, json::array()}));
+    }
+    groups.back().at(2).push_back(origin.stream);
+    previous = &origin;
+  }
+  return groups;
+}
+
+std::vector<forwarding::StreamOrigin> DecodeStreamOrigins(const json& groups) {
+  std::vector<forwarding::StreamOrigin> origins;
+  for (const json& group : groups) {
+    const auto service = group.at(0).get<std::string>();
+    const auto version = group.at(1).get<std::string>();
+    if (service.size() > kMaxOriginNameBytes ||
+        version.size() > kMaxOriginNameBytes) {
+      continue;
+    }
+    for (const json& stream : group.at(2)) {
+      if (origins.size() == GossipMessage::kMaxStreamOrigins) {
+        return origins;
+      }
+      origins.push_back({ReadInteger<std::uint64_t>(stream), service, version});
+    }
+  }
+  return origins;
+}
+
 }  // namespace
 
 std::string GossipMessage::Encode() const {
@@ -176,14 +216,26 @@
     encoded_failures.push_back(EncodeUpstreamFailure(report));
   }
   const json message = json::array(
-      {kFormatVersion, daemon, address, zone, incarnation, sequence,
-       std::move(encoded_loads), std::move(encoded_updates), sent_ms, echo_ms,
+      {kFormatVersion,
+       daemon,
+       address,
+       zone,
+       incarnation,
+       sequence,
+       std::move(encoded_loads),
+       std::move(encoded_updates),
+       sent_ms,
+       echo_ms,
        operator_end_offset,
        freshness_proof_age_ms ? json(*freshness_proof_age_ms) : json(),
-       std::move(encoded_crashes), covers_zone,
-       capacity ? json(*capacity) : json(), stopping,
-       std::move(encoded_publications), std::move(encoded_verdicts),
-       std::move(encoded_failures)});
+       std::move(encoded_crashes),
+       covers_zone,
+       capacity ? json(*capacity) : json(),
+       stopping,
+       std::move(encoded_publications),
+       std::move(encoded_verdicts),
+       std::move(encoded_failures),
+       EncodeStreamOrigins(stream_origins)});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -238,6 +290,10 @@
       decoded.upstream_failures =
           DecodeUpstreamFailures(message.at(kUpstreamFailuresIndex));
     }
+    if (message.size() > kStreamOriginsIndex) {
+      decoded.stream_origins =
+          DecodeStreamOrigins(message.at(kStreamOriginsIndex));
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -44,6 +44,7 @@
   message.part_verdicts = {{21, 22, 23, 24ms, 25ms}};
   message.upstream_failures = {
       {"u", 26, forwarding::UpstreamFailure::kRefused, 27ms, false}};
+  message.stream_origins = {{28, "s", "v1"}, {29, "s", "v1"}, {30, "s", "v2"}};
   return message;
 }
 
@@ -151,6 +152,9 @@
     nlohmann::json::to_msgpack(encoded, bytes);
     return GossipMessage::Decode(bytes);
   };
+  const auto without_origins = decode_without_last();
+  CHECK(without_origins.upstream_failures == message.upstream_failures);
+  CHECK(without_origins.stream_origins.empty());
   const auto without_failures = decode_without_last();
   CHECK(without_failures.crash_reports == message.crash_reports);
   CHECK(without_failures.part_verdicts == message.part_verdicts);
@@ -166,7 +170,7 @@
 TEST(ForwarderCodec, FailuresOfUpstreamsAreBounded) {
   GossipMessage message = CompleteMessage();
   auto encoded = nlohmann::json::from_msgpack(message.Encode());
-  nlohmann::json& failures = encoded.back();
+  nlohmann::json& failures = encoded.at(encoded.size() - 2);
   nlohmann::json later = failures.front();
   later[2] = 9;
   failures.insert(failures.begin(), later);
@@ -180,6 +184,20 @@
       GossipMessage::Decode(message.Encode()).upstream_failures.size());
 }
 
+// Guards against a stream that counts as one of another service or software
+// version, and against any number of origins in a message.
+TEST(ForwarderCodec, OriginsOfStreamsRoundTrip) {
+  GossipMessage message = CompleteMessage();
+  CHECK(GossipMessage::Decode(message.Encode()).stream_origins ==
+        message.stream_origins);
+  message.stream_origins.resize(GossipMessage::kMaxStreamOrigins + 1);
+  UNSIGNED_LONGS_EQUAL(
+      GossipMessage::kMaxStreamOrigins,
+      GossipMessage::Decode(message.Encode()).stream_origins.size());
+  message.stream_origins = {{1, "s", std::string(257, 'v')}};
+  CHECK(GossipMessage::Decode(message.Encode()).stream_origins.empty());
+}
+
 // Guards against a crash on malformed input.
 TEST(ForwarderCodec, MalformedInputIsRejected) {
   const std::string good = GossipMessage{}.Encode();
@@ -201,7 +219,7 @@
        {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
         nlohmann::json("1")}) {
     const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(27, variants.size());
+    UNSIGNED_LONGS_EQUAL(30, variants.size());
     for (const nlohmann::json& variant : variants) {
       std::string encoded;
       nlohmann::json::to_msgpack(variant, encoded);
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -66,6 +66,9 @@
   /// Requests refused because no upstream that could run them is in a region
   /// that they may use.
   kRefusedOutsideRegions,
+  /// Requests refused because it is not known which software version began the
+  /// stream that they resume.
+  kRefusedUnknownOrigin,
   kUpstreamCold,
   kWarmUpRefused,
   /// Upstreams whose address another process has taken, by this daemon's own
--- a/packages/core/include/jasminehatch/detail/forwarding/effect.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/effect.h
@@ -15,6 +15,7 @@
 #include "jasminehatch/detail/base/verdict.h"
 #include "jasminehatch/detail/forwarding/configuration.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
+#include "jasminehatch/detail/forwarding/stream_origin.h"
 
 namespace jasminehatch::forwarding {
 
@@ -80,6 +81,11 @@
   CrashReport report;
 };
 
+/// Tell the other daemons where streams began.
+struct ShareStreamOrigins {
+  std::vector<StreamOrigin> origins;
+};
+
 /// @brief A field of a logged decision.
 struct DecisionField {
   std::string_view name;
@@ -102,6 +108,7 @@
                             DeliverResponse,
                             RefuseRequest,
                             ShareCrashReport,
+                            ShareStreamOrigins,
                             LogDecision,
                             CountEvent>;
 
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -17,6 +17,7 @@
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_verdict.h"
 #include "jasminehatch/detail/forwarding/publication_age.h"
+#include "jasminehatch/detail/forwarding/stream_origin.h"
 #include "jasminehatch/detail/forwarding/upstream_failure_report.h"
 
 namespace jasminehatch::forwarding {
@@ -53,6 +54,7 @@
   /// Start of the process; distinguishes restarts of one id.
   std::uint64_t started_at = 0;
   std::map<std::string, std::uint64_t> weights;  ///< Version by model.
+  std::string software_version;  ///< Not that of its weights; may be empty.
 
   friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
@@ -72,6 +74,13 @@
   std::vector<UpstreamEntry> entries;
 };
 
+/// The registry had an entry of an upstream with this software version, which
+/// may be gone.
+struct SoftwareVersionSeen {
+  std::string service;
+  std::string version;
+};
+
 /// The registry can be read again after an outage.
 struct RegistryRecovered {};
 
@@ -129,7 +138,10 @@
   std::optional<Prompt> prompt;
   std::optional<Duration> time_left;  ///< Caller's remaining time.
   std::string resume_after;           ///< Id of the last received event.
-  std::uint64_t fingerprint = 0;      ///< Hash of path, caller and body.
+  /// The caller's id of the request that got the first event of the stream that
+  /// this one resumes; empty if the caller did not say.
+  std::string resumed_request;
+  std::uint64_t fingerprint = 0;  ///< Hash of path, caller and body.
   std::uint64_t random = 0;
 };
 
@@ -259,6 +271,11 @@
   std::vector<std::string> zones;
 };
 
+/// Origins of streams were received from another daemon.
+struct StreamOriginsReceived {
+  std::vector<StreamOrigin> origins;
+};
+
 /// Failures of upstreams were received from another daemon.
 struct UpstreamFailuresReported {
   std::string reporter;  ///< Name of the daemon, for logs.
@@ -273,6 +290,7 @@
                            UpstreamRegistered,
                            UpstreamRemoved,
                            UpstreamsListed,
+                           SoftwareVersionSeen,
                            RegistryRecovered,
                            WeightsPublished,
                            PublicationAgeReceived,
@@ -301,6 +319,7 @@
                            EvacuationsListed,
                            OperatorRecordsAnnounced,
                            UpstreamFailuresReported,
+                           StreamOriginsReceived,
                            TimerFired>;
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/exclusion.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/exclusion.h
@@ -13,6 +13,7 @@
   kLoading,          ///< It is loading weights.
   kWeightsUnknown,   ///< The version of its weights is not known.
   kWeightsOutdated,  ///< Its weights are older than the required ones.
+  kOtherSoftware,    ///< It has another software version than the stream.
   kPauseRequested,   ///< It asked for no requests for some time.
   kAlreadyTried,     ///< An earlier attempt at the request used it.
   kCold,             ///< Cold, and this daemon may send it none for now.
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -24,6 +24,7 @@
     std::uint32_t fetched_tokens = 0;  ///< Read from cache stores.
     std::uint32_t saved_tokens = 0;    ///< Written to cache stores.
     std::uint64_t entry_number = 0;    ///< `Upstream::entry_number`.
+    std::string software_version;      ///< Of the upstream.
   };
 
   RequestReceived arrival;
@@ -48,6 +49,16 @@
   std::uint32_t run_count = 0;  ///< Earlier attempts that may have run.
   bool response_started = false;
   std::string last_event;
+  /// Software version that began the stream, once an event of it was sent;
+  /// further attempts go to upstreams with this version only.
+  std::optional<std::string> software_version;
+
+  /// @return the caller's id of the request that got, or gets, the first event
+  /// of the stream
+  const std::string& StreamId() const {
+    return arrival.resumed_request.empty() ? arrival.caller_id
+                                           : arrival.resumed_request;
+  }
 
   /// @return whether the request may be sent again after it may have run
   bool IsRepeatable() const {
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -26,6 +26,7 @@
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
 #include "jasminehatch/detail/forwarding/route_table.h"
 #include "jasminehatch/detail/forwarding/shared_clock.h"
+#include "jasminehatch/detail/forwarding/stream_origins.h"
 #include "jasminehatch/detail/forwarding/unreachable_zones.h"
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
 #include "jasminehatch/detail/routing/fleet_members.h"
@@ -51,6 +52,7 @@
   FleetLoad fleet;
   CrashSuspects crashes;
   PartSuspects part_suspects;
+  StreamOrigins stream_origins;
   std::unordered_map<RequestId, Request> requests;
   std::set<std::pair<MonotonicTime, RequestId>> timers;
   RetryAllowance retries;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -14,6 +15,7 @@
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/removed_upstream_notices.h"
+#include "jasminehatch/detail/forwarding/software_history.h"
 #include "jasminehatch/detail/forwarding/upstream.h"
 
 namespace jasminehatch::forwarding {
@@ -73,6 +75,17 @@
   /// @return whether it did not pause already
   bool OnPauseRequested(const UpstreamPauseRequested& event, MonotonicTime now);
 
+  /// Records a software version of upstreams that may be gone.
+  void OnSoftwareVersionSeen(const SoftwareVersionSeen& seen,
+                             MonotonicTime now) {
+    m_software_history.OnSeen(seen.service, seen.version, now);
+  }
+
+  /// @return the software versions of the service's upstreams, also of those
+  /// that were removed since the oldest streams began that can be resumed
+  std::set<std::string> RecentSoftwareVersions(const std::string& service,
+                                               MonotonicTime now) const;
+
   /// @return the upstream, or null
   Upstream* Find(const std::string& id);
   const Upstream* Find(const std::string& id) const;
@@ -122,7 +135,7 @@
   }
 
  private:
-  void Erase(const std::string& id);
+  void Erase(const std::string& id, MonotonicTime now);
 
   /// @return the newest weights of the model at an upstream of the service, or
   /// 0
@@ -134,6 +147,7 @@
   std::map<std::string, std::vector<PublishedWeights>> m_published;
   std::optional<MonotonicTime> m_removals_deferred_until;
   RemovedUpstreamNotices m_removed_notices;
+  SoftwareHistory m_software_history;  ///< Of removed upstreams.
   std::uint64_t m_last_entry_number = 0;
 };
 
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -52,6 +52,7 @@
     "zone_evacuation_ended",
     "refused_in_evacuated_zone",
     "refused_outside_regions",
+    "refused_unknown_origin",
     "upstream_cold",
     "warm_up_refused",
     "upstream_replaced",
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -170,6 +170,10 @@
     case ZoneBlock::kNone:
       break;
   }
+  if (request.software_version) {
+    denial.detail +=
+        " with the software version '" + *request.software_version + "'";
+  }
   denial.detail += " can be used";
   return denial;
 }
@@ -230,6 +234,7 @@
   request.attempt =
       Request::Attempt{id, upstream.entry.id, AttemptTimeoutAt(request)};
   request.attempt->entry_number = upstream.entry_number;
+  request.attempt->software_version = upstream.entry.software_version;
   upstream.OnAttemptStarted(request.expected_tokens, m_now);
   RecordColdSend(upstream);
   m_state.unreachable_zones.OnAttemptStarted(upstream.entry.zone, id, m_now);
@@ -379,6 +384,7 @@
   }
   request->response_started = true;
   request->attempt->response_started = true;
+  RecordOrigin(*request);
   request->attempt->timeout_at.reset();
   SetTimer(*request);
   RecordAnswer(*request);
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -144,7 +144,8 @@
         Check{Exclusion::kLoading, &UpstreamChooser::IsLoading},
         Check{Exclusion::kWeightsUnknown, &UpstreamChooser::HasUnknownWeights},
         Check{Exclusion::kWeightsOutdated,
-              &UpstreamChooser::HasOutdatedWeights}};
+              &UpstreamChooser::HasOutdatedWeights},
+        Check{Exclusion::kOtherSoftware, &UpstreamChooser::HasOtherSoftware}};
     return kChecks;
   }
 
@@ -432,6 +433,11 @@
     return version > 0 && version < m_version_limits.min_version;
   }
 
+  bool HasOtherSoftware(const Upstream& upstream) const {
+    return m_request.software_version &&
+           upstream.entry.software_version != *m_request.software_version;
+  }
+
   bool LacksMemory(const Candidate& candidate) const {
     return m_engine_memory_tokens > 0 && candidate.memory_share > MemoryLimit();
   }
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -59,6 +59,9 @@
     m_state.upstreams.ReplaceAll(event.entries, m_now);
     ReportColdUpstreams();
   }
+  void Apply(const SoftwareVersionSeen& event) {
+    m_state.upstreams.OnSoftwareVersionSeen(event, m_now);
+  }
   void Apply(const RegistryRecovered& /*event*/) {
     m_state.upstreams.OnRegistryRecovered(m_now, m_state.options);
   }
@@ -121,6 +124,7 @@
     m_state.lag.OnAnnounced(event.end_offset, m_now);
   }
   void Apply(const UpstreamFailuresReported& event);
+  void Apply(const StreamOriginsReceived& event);
   void Apply(const TimerFired& event);
 
   /// Decides on a request as its arrival would, without admitting it.
@@ -188,6 +192,12 @@
   /// @return why the request is refused if no upstream can take it
   std::optional<Denial> FindPlacementDenial(const Request& request,
                                             const Placement& placement) const;
+  /// Finds the software version that began the stream of a request that resumes
+  /// one.
+  /// @return why the request is refused if the version is not known
+  std::optional<Denial> FindOrigin(Request& request) const;
+  /// Records where a stream began of which an event was sent.
+  void RecordOrigin(Request& request);
   void Dispatch(Request& request);
   void StartOn(Request& request, const Placement& placement);
   /// @return the scope of the cache salts of a workspace's requests
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -103,7 +103,7 @@
                                   m_now + request.route->timeout));
   }
   ChooseService(request);
-  return std::nullopt;
+  return FindOrigin(request);
 }
 
 void Reducer::Apply(const StopRequested& event) {
@@ -164,7 +164,8 @@
     total += service.weight;
   }
   constexpr double kHashRange = 1ULL << 32U;
-  const auto hash = StableHash(request.arrival.caller_id) >> 32U;
+  // A stream is resumed at the service at which it began.
+  const auto hash = StableHash(request.StreamId()) >> 32U;
   double point = static_cast<double>(hash) / kHashRange * total;
   for (const WeightedService& service : services) {
     request.service = service.service;
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -33,7 +33,8 @@
   if (Upstream* known = Find(entry.id)) {
     if (known->entry.started_at == entry.started_at &&
         known->entry.service == entry.service &&
-        known->entry.address == entry.address) {
+        known->entry.address == entry.address &&
+        known->entry.software_version == entry.software_version) {
       const auto weights = known->entry.weights;
       known->entry = entry;
       known->entry.weights = weights;
@@ -49,7 +50,7 @@
       return;
     }
     // What was known of the earlier process does not apply after a restart.
-    Erase(entry.id);
+    Erase(entry.id, now);
   }
   auto upstream = std::make_unique<Upstream>();
   upstream->entry = entry;
@@ -61,7 +62,7 @@
   m_upstreams.emplace(entry.id, std::move(upstream));
 }
 
-void UpstreamDirectory::Erase(const std::string& id) {
+void UpstreamDirectory::Erase(const std::string& id, MonotonicTime now) {
   const auto found = m_upstreams.find(id);
   if (found == m_upstreams.end()) {
     return;
@@ -70,10 +71,22 @@
   if (upstream.notice != UpstreamNotice{}) {
     m_removed_notices.Store(id, upstream.entry.started_at, upstream.notice);
   }
+  m_software_history.OnSeen(upstream.entry.service,
+                            upstream.entry.software_version, now);
   std::erase(m_by_service[upstream.entry.service], &upstream);
   m_upstreams.erase(found);
 }
 
+std::set<std::string> UpstreamDirectory::RecentSoftwareVersions(
+    const std::string& service,
+    MonotonicTime now) const {
+  std::set<std::string> versions = m_software_history.Recent(service, now);
+  for (const Upstream* upstream : OfService(service)) {
+    versions.insert(upstream->entry.software_version);
+  }
+  return versions;
+}
+
 void UpstreamDirectory::Remove(const std::string& id, MonotonicTime now) {
   Upstream* upstream = Find(id);
   if (upstream == nullptr) {
@@ -86,7 +99,7 @@
     }
     return;
   }
-  Erase(id);
+  Erase(id, now);
 }
 
 void UpstreamDirectory::ReplaceAll(std::span<const UpstreamEntry> entries,
--- a/packages/core/tests/forwarding_fixture.cc
+++ b/packages/core/tests/forwarding_fixture.cc
@@ -167,13 +167,15 @@
 
 void ForwardingFixture::AddUpstream(const std::string& id,
                                     const std::string& service,
-                                    std::uint64_t weights) {
+                                    std::uint64_t weights,
+                                    const std::string& software_version) {
   UpstreamEntry entry;
   entry.id = id;
   entry.service = service;
   entry.address = "10.0.0.1:80";
   entry.zone = "a";
   entry.slots = 8;
+  entry.software_version = software_version;
   if (weights > 0) {
     entry.weights["m"] = weights;
   }
--- a/packages/core/tests/forwarding_fixture.h
+++ b/packages/core/tests/forwarding_fixture.h
@@ -76,7 +76,8 @@
 
   void AddUpstream(const std::string& id,
                    const std::string& service,
-                   std::uint64_t weights = 0);
+                   std::uint64_t weights = 0,
+                   const std::string& software_version = "v1");
 
   void Wait(Duration time) { m_now += time; }
 
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -67,6 +67,13 @@
     m_on_crash_report = std::move(on_crash_report);
   }
 
+  /// Sets the callback for origins of streams that are sent to other daemons.
+  void SetStreamOriginsCallback(
+      std::function<void(std::span<const forwarding::StreamOrigin>)>
+          on_stream_origins) {
+    m_on_stream_origins = std::move(on_stream_origins);
+  }
+
   const forwarding::State& State() const { return m_state; }
 
   /// Explains what would happen to a request that arrives now.
@@ -114,6 +121,7 @@
   void Execute(const forwarding::DeliverResponse& effect);
   void Execute(const forwarding::RefuseRequest& effect);
   void Execute(const forwarding::ShareCrashReport& effect);
+  void Execute(const forwarding::ShareStreamOrigins& effect);
   void Execute(const forwarding::LogDecision& effect);
   void Execute(const CountEvent& effect);
 
@@ -146,6 +154,8 @@
   telemetry::Metrics& m_metrics;
   forwarding::State m_state;
   std::function<void(const forwarding::CrashReport&)> m_on_crash_report;
+  std::function<void(std::span<const forwarding::StreamOrigin>)>
+      m_on_stream_origins;
   std::unordered_map<RequestId, ActiveRequest> m_active_requests;
   asio::steady_timer m_timer;
   std::optional<MonotonicTime> m_timer_at;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -127,6 +127,9 @@
   /// Includes a crash report in each message for a while.
   void Broadcast(const forwarding::CrashReport& report);
 
+  /// Includes origins of streams in the next messages.
+  void Share(std::span<const forwarding::StreamOrigin> origins);
+
   /// Tells the peers that this daemon was asked to stop: they no longer count
   /// it as live. It goes on exchanging messages until `Stop`, since a daemon
   /// that starts meanwhile may not know of anyone else.
@@ -162,6 +165,11 @@
     MonotonicTime until{};
   };
 
+  struct PendingOrigin {
+    forwarding::StreamOrigin origin;
+    int messages_left = 0;
+  };
+
   /// @return whether the peer has sent a message recently
   static bool IsHeard(const Peer& peer, MonotonicTime now);
   /// @return whether the peer is heard and was not asked to stop
@@ -194,6 +202,7 @@
               codec::GossipMessage& message);
   Recipients ChooseRecipients();
   codec::GossipMessage MakeMessage();
+  std::vector<forwarding::StreamOrigin> TakeOrigins();
   void ArmSendTimer();
 
   const Clock& m_clock;
@@ -213,6 +222,7 @@
   std::map<std::string, Peer> m_peers;
   std::vector<PendingWeightsUpdate> m_weights_updates;
   std::deque<PendingCrashReport> m_crash_reports;
+  std::deque<PendingOrigin> m_stream_origins;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_round = 0;
   std::size_t m_list_repeats = 0;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -31,6 +31,7 @@
 #include "jasminehatch/telemetry.h"
 #include "operator_records.h"
 #include "probe_listeners.h"
+#include "software_history_reader.h"
 #include "upstream_records.h"
 
 namespace jasminehatch::daemon {
@@ -113,6 +114,7 @@
                         m_host,
                         m_configuration,
                         OperatorRecordLimit(settings)),
+        m_software_history(m_store, m_host),
         m_cache_stores(loop, clock, m_engines, m_host, m_log),
         m_stop_timer(loop),
         m_log_timer(loop) {
@@ -126,7 +128,7 @@
     m_engines.SetNoticeCallback(
         [this](const forwarding::Event& notice) { m_host.Apply(notice); });
     m_configuration.Start();
-    m_registry.Start();
+    m_software_history.Start([this] { m_registry.Start(); });
     m_rollout.Start();
     StartGossip(incarnation);
     m_proof_renewal.Start();
@@ -220,6 +222,7 @@
   TopicFollower m_registry;
   std::unique_ptr<PeerGossip> m_gossip;  ///< Null without a peer address.
   FreshnessProofRenewal m_proof_renewal;
+  SoftwareHistoryReader m_software_history;
   CacheStoreFollowers m_cache_stores;
   std::unique_ptr<ZoneRelay> m_relay;  ///< Null without a peer address.
   std::unique_ptr<CallerListener> m_callers;
@@ -325,6 +328,10 @@
   m_host.SetCrashReportCallback([this](const forwarding::CrashReport& report) {
     m_gossip->Broadcast(report);
   });
+  m_host.SetStreamOriginsCallback(
+      [this](std::span<const forwarding::StreamOrigin> origins) {
+        m_gossip->Share(origins);
+      });
   m_rollout.SetUpdateCallback([this](const codec::WeightsUpdate& update) {
     m_gossip->Broadcast(update);
   });
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -532,6 +532,12 @@
   }
 }
 
+void ForwardingHost::Execute(const forwarding::ShareStreamOrigins& effect) {
+  if (m_on_stream_origins) {
+    m_on_stream_origins(effect.origins);
+  }
+}
+
 void ForwardingHost::Execute(const forwarding::LogDecision& effect) {
   std::vector<DecisionLogField> fields{{"request", effect.request}};
   for (const forwarding::DecisionField& field : effect.fields) {
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -4,6 +4,7 @@
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "jasminehatch/codec.h"
@@ -62,6 +63,13 @@
 /// that it reaches all daemons even if few exchange messages directly.
 constexpr milliseconds kCrashReportRepeatTime{500};
 
+/// Each origin of a stream is in this number of messages because messages may
+/// be lost.
+constexpr int kOriginMessages = 2;
+
+/// Maximum number of origins that wait to be sent; the oldest are dropped.
+constexpr std::size_t kMaxPendingOrigins = 8192;
+
 /// The fleet's allowance of retries is divided by the number of daemons that
 /// were heard of within this time, because each may have used its part of it.
 constexpr std::chrono::seconds kRecentPeerAge{60};
@@ -338,6 +346,10 @@
     m_host.Apply(forwarding::UpstreamFailuresReported{
         message.daemon, std::move(message.upstream_failures)});
   }
+  if (!message.stream_origins.empty()) {
+    m_host.Apply(
+        forwarding::StreamOriginsReceived{std::move(message.stream_origins)});
+  }
   for (const codec::WeightsUpdate& update : message.weights_updates) {
     if (!update.loading) {
       m_host.Apply(forwarding::WeightsObserved{update.upstream, update.model,
@@ -493,6 +505,7 @@
   message.part_verdicts = m_host.State().part_suspects.Verdicts(now);
   message.upstream_failures =
       m_host.State().failure_reports.ForMessage(m_host.State().upstreams, now);
+  message.stream_origins = TakeOrigins();
   message.sent_ms = static_cast<std::uint64_t>(
       std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
   if (const auto proof = m_get_own_proof ? m_get_own_proof() : std::nullopt) {
@@ -547,6 +560,36 @@
   m_crash_reports.push_back({report, m_clock.Now() + kCrashReportRepeatTime});
 }
 
+void PeerGossip::Share(std::span<const forwarding::StreamOrigin> origins) {
+  for (const forwarding::StreamOrigin& origin : origins) {
+    m_stream_origins.push_back({origin, kOriginMessages});
+  }
+  while (m_stream_origins.size() > kMaxPendingOrigins) {
+    m_stream_origins.pop_front();
+  }
+}
+
+/// @return the origins of the next message, the oldest ones first
+std::vector<forwarding::StreamOrigin> PeerGossip::TakeOrigins() {
+  std::vector<forwarding::StreamOrigin> origins;
+  for (PendingOrigin& pending : m_stream_origins) {
+    if (origins.size() == codec::GossipMessage::kMaxStreamOrigins) {
+      break;
+    }
+    origins.push_back(pending.origin);
+    --pending.messages_left;
+  }
+  while (!m_stream_origins.empty() &&
+         m_stream_origins.front().messages_left <= 0) {
+    m_stream_origins.pop_front();
+  }
+  std::sort(origins.begin(), origins.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.service, a.software_version) <
+           std::tie(b.service, b.software_version);
+  });
+  return origins;
+}
+
 void PeerGossip::ArmSendTimer() {
   m_send_timer.expires_after(kSendInterval);
   m_send_timer.async_wait(
--- a/packages/daemon/tests/forwarder_fixture.cc
+++ b/packages/daemon/tests/forwarder_fixture.cc
@@ -85,6 +85,8 @@
       {"X-Deadline-Ms", deadline},
       {"Authorization", "Token " + key},
       {"X-Tenant", "forged"}};
+  call.headers.insert(call.headers.end(), m_caller_headers.begin(),
+                      m_caller_headers.end());
   m_call = m_client.Start(std::move(call), StoreIn(response));
   return response;
 }
--- a/packages/daemon/tests/forwarder_fixture.h
+++ b/packages/daemon/tests/forwarder_fixture.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "caller_response.h"
@@ -53,6 +54,11 @@
                                         const std::string& key = "key",
                                         const std::string& deadline = "2000");
 
+  /// Sets headers that callers send in addition.
+  void SetCallerHeaders(net::HttpHeaders headers) {
+    m_caller_headers = std::move(headers);
+  }
+
   /// Starts a request and waits until it ends.
   CallerResponse Send(const std::string& path,
                       const std::string& key = "key",
@@ -95,6 +101,7 @@
   net::StreamClient m_client;
   codec::ForwarderSettings m_settings;
   std::unique_ptr<Forwarder> m_daemon;
+  net::HttpHeaders m_caller_headers;
   std::uint64_t m_call = 0;
   int m_next_request_id = 1;
 };
