Do not refuse a resumed stream when the engines are full

Cause: a request that resumes a stream counted as a new one for admission. Large prompts are refused first, and the engines are full just after others crashed. The callers lost what they had of their streams; a retry within a response was never refused for that.

Change: the limit applies to requests that begin a stream. The engine queues the others.

--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -145,7 +145,8 @@
   if (placement.upstream == nullptr) {
     return MakeDenialForLackOfUpstreams(request, placement);
   }
-  if (placement.overloaded) {
+  // The caller of a stream that has begun would lose all of it.
+  if (placement.overloaded && request.last_event.empty()) {
     return Denial{
         RefusalCode::kOverloaded,
         "no upstream has memory for the request, load relative to capacity " +
--- a/packages/core/tests/stream_resumption_test.cc
+++ b/packages/core/tests/stream_resumption_test.cc
@@ -162,6 +162,20 @@
   OnlyStart(daemon.Resume("unheard-of"));
 }
 
+// Guards against a stream that is lost with all that its caller has got, since
+// it counts as a new request when the engines are full.
+TEST(StreamResumption, FullEnginesRefuseNewStreamsOnly) {
+  Daemon daemon;
+  daemon.Begin();
+  const std::string stream = daemon.NewestStream();
+  forwarding::Effects effects;
+  do {
+    effects = daemon.Send("/resume/");
+  } while (EffectsOf<RefuseRequest>(effects).empty());
+  CHECK(test::Is(RefusalCode::kOverloaded, OnlyRefusal(effects)));
+  OnlyStart(daemon.Resume(stream));
+}
+
 // Guards against streams that no other daemon knows because they began before
 // there was a second version.
 TEST(StreamResumption, EarlierStreamsAreSharedOnceThereAreTwoVersions) {
