Read the lease again as soon as any response names a higher epoch

The first publication after the store came back from an older copy, however much later, then waited for the lease time of 4.2 s at every daemon but the last holder, while old weights may be used for 6 s.

Change: the client of the store reports each rise of the epoch, from any response, and the lease is read then.

--- a/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/lease_topic.h
@@ -47,6 +47,10 @@
   /// Reads the records after those already read, unless a read is in progress.
   void Read();
 
+  /// Starts over if the epoch of the store is higher than that of the records
+  /// already read.
+  void OnEpoch(std::uint32_t epoch);
+
   /// Appends a record, if it follows those already read.
   void Append(const lease::LeaseRecord& record);
 
@@ -55,7 +59,6 @@
 
  private:
   void OnPage(std::uint64_t from, const platform::StorePage& page);
-  void StartEpoch(std::uint32_t epoch);
 
   const Clock& m_clock;
   platform::StoreClient& m_store;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/weights_rollout.h
@@ -79,6 +79,10 @@
   /// called after each change of the registry or of the published weights.
   void Update();
 
+  /// Reads the lease if the store has come back from an older copy, so that the
+  /// time for which an unknown holder may send orders counts from now on.
+  void OnStoreEpoch(std::uint32_t epoch) { m_lease_topic.OnEpoch(epoch); }
+
   /// Sets whether this daemon leaves the lease to others, as long as the
   /// rollout makes progress.
   void SetStandby(bool on_standby) { m_standby.SetStandby(on_standby); }
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -124,6 +124,8 @@
     m_store.SetCallObserver([this](const relay::StoreCall& call) {
       m_metrics.CountStoreCall(call);
     });
+    m_store.SetEpochObserver(
+        [this](std::uint32_t epoch) { m_rollout.OnStoreEpoch(epoch); });
     Listen();
     m_engines.SetNoticeCallback(
         [this](const forwarding::Event& notice) { m_host.Apply(notice); });
--- a/packages/daemon/src/forwarder/lease_topic.cc
+++ b/packages/daemon/src/forwarder/lease_topic.cc
@@ -37,19 +37,22 @@
                });
 }
 
-void LeaseTopic::StartEpoch(std::uint32_t epoch) {
+void LeaseTopic::OnEpoch(std::uint32_t epoch) {
+  if (epoch <= m_epoch) {
+    return;
+  }
   m_epoch = epoch;
   m_next_offset = 0;
   const std::string number = std::to_string(epoch);
   const std::array fields{DecisionLogField{"epoch", number}};
   m_log.Write(DecisionLog::Level::kState, "lease_log_restored", fields);
   m_callbacks.on_records_lost({epoch});
+  Read();
 }
 
 void LeaseTopic::OnPage(std::uint64_t from, const platform::StorePage& page) {
   if (page.epoch > m_epoch) {
-    StartEpoch(page.epoch);
-    Read();
+    OnEpoch(page.epoch);
     return;
   }
   if (page.status == platform::StorePage::Status::kFailed ||
@@ -93,9 +96,7 @@
       platform::kLeaseTopic, codec::EncodeLease(record), at,
       [this, record, at](const platform::StoreAppendResult& outcome) {
         using Status = platform::StoreAppendResult::Status;
-        if (outcome.epoch > m_epoch) {
-          StartEpoch(outcome.epoch);
-        }
+        OnEpoch(outcome.epoch);
         if (outcome.status == Status::kAppended && outcome.offset == at &&
             m_next_offset == at && outcome.epoch == record.epoch &&
             record.epoch == m_epoch) {
--- a/packages/daemon/tests/weights_orders_test.cc
+++ b/packages/daemon/tests/weights_orders_test.cc
@@ -124,3 +124,14 @@
   }));
   CHECK(zone.fixture.Platform().End(kLeaseTopic) > 0);
 }
+
+// Guards against a daemon that learns only from the next publication that the
+// store was restored, and then waits for the lease time before it orders.
+TEST(WeightsOrders, TheLeaseIsReadAgainWhenTheStoreWasRestored) {
+  ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  const std::uint64_t reads = fixture.Platform().ReadCount(kLeaseTopic);
+  fixture.Platform().RestoreOlderCopy(kLeaseTopic, 0);
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.Platform().ReadCount(kLeaseTopic) > reads; }));
+}
--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -66,6 +66,9 @@
   /// @return the offset after the newest record of a topic
   std::uint64_t End(const std::string& topic) const;
 
+  /// @return how often records of a topic were read from an offset on
+  std::uint64_t ReadCount(const std::string& topic) const;
+
   /// While the store is down, each call gets status 503.
   void SetDown(bool down) { m_down = down; }
 
@@ -78,6 +81,7 @@
     /// Records from offset `first` on, without length prefix.
     std::vector<std::string> records;
     std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    std::uint64_t reads = 0;
 
     std::uint64_t End() const { return first + records.size(); }
   };
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -152,6 +152,11 @@
   return found != m_topics.end() ? found->second.End() : 0;
 }
 
+std::uint64_t PlatformEmulator::ReadCount(const std::string& topic) const {
+  const auto found = m_topics.find(topic);
+  return found != m_topics.end() ? found->second.reads : 0;
+}
+
 void PlatformEmulator::Send(net::ResponseWriter& writer,
                             int status,
                             const std::string& body) const {
@@ -178,7 +183,8 @@
     const net::HttpRequest& request,
     const std::shared_ptr<net::ResponseWriter>& writer) {
   const std::string name = TopicOf(request);
-  const Topic& topic = m_topics[name];
+  Topic& topic = m_topics[name];
+  ++topic.reads;
   const auto from = ParseNumber(net::FindQueryParameter(request.query, "from"));
   const auto wait =
       ParseNumber(net::FindQueryParameter(request.query, "waitMs"));
