--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 7 to 10 into build/review-round-2/.
+# Builds the stand-ins of the cases 6 to 10 into build/review-round-2/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build/review-round-2
