--- a/review/round-2/tests/part_case.cc
+++ b/review/round-2/tests/part_case.cc
@@ -36,7 +36,7 @@
   int Run();
 
  private:
-  bool Answer200(Worker& worker, const Message& request, Connection& out);
+  bool HandleRequest(Worker& worker, const Message& request, Connection& out);
   bool Crash(Worker& worker, const std::string& id, Connection& out);
   std::string BadParts(int number) const;
   void Send(const Daemon& daemon, bool is_bad, int number);
@@ -58,7 +58,7 @@
   Workers m_workers{
       m_store, 8, "llm", kModelField,
       [this](Worker& worker, const Message& request, Connection& out) {
-        return Answer200(worker, request, out);
+        return HandleRequest(worker, request, out);
       }};
   std::atomic<int> m_sound_sent{0};
   std::atomic<int> m_sound_served{0};
@@ -88,9 +88,9 @@
   return false;
 }
 
-bool PartCase::Answer200(Worker& worker,
-                         const Message& request,
-                         Connection& out) {
+bool PartCase::HandleRequest(Worker& worker,
+                             const Message& request,
+                             Connection& out) {
   const std::string id = request.Header("X-Request-Id");
   m_record.Write(id + " reached " + worker.id);
   if (request.Header("X-Prompt-Prefix").find(kBadPart) != std::string::npos) {
