--- a/review/round-2/tests/crowd_case.cc
+++ b/review/round-2/tests/crowd_case.cc
@@ -39,8 +39,9 @@
   Store m_store;
   Workers m_workers{
       m_store, 3, "orders", "",
-      [](Worker& worker, const Message& request, Connection& connection) {
+      [this](Worker& worker, const Message& request, Connection& connection) {
         const std::string id = request.Header("X-Request-Id");
+        m_record.Write("ran " + id + " at " + worker.id);
         return connection.Write(FormatResponse(
             "200 OK",
             "X-Request-Id: " + id + "\r\nX-Response-Signature: " + worker.id +
--- a/review/round-2/tests/memory_case.cc
+++ b/review/round-2/tests/memory_case.cc
@@ -48,6 +48,7 @@
       [this](Worker& worker, const Message& request, Connection& connection) {
         const std::string id = request.Header("X-Request-Id");
         ++m_running;
+        m_record.Write("ran " + id + " at " + worker.id);
         Sleep(kWorkMs);
         const std::string event = "id: 1\ndata: x\n\n";
         return connection.Write(FormatResponse(
@@ -67,11 +68,12 @@
   for (int i = 0; i < kRequests; ++i) {
     connections.push_back(std::make_unique<Connection>(Connect(daemon.Port())));
     const std::string number = std::to_string(m_next_request++);
+    m_record.Write("sent r" + number + " to " + daemon.Name());
     connections.back()->Write(
         "POST /digest/" + number +
         " HTTP/1.1\r\nHost: pule25.example\r\nX-Request-Id: r" + number +
         "\r\nX-Model: m0\r\nX-Token-Usage: 3900,10\r\nX-Prompt-Prefix: " +
-        m_parts +
+        m_parts + ",c" + number + ":1" +
         "\r\nX-Deadline-Ms: 10000\r\nAuthorization: Token key-a\r\n"
         "Content-Length: " +
         std::to_string(kBodyBytes) + "\r\n\r\n" + std::string(kBodyBytes, 'a'));
@@ -104,9 +106,14 @@
   int refused = 0;
   int lost = 0;
   const Time until = Clock::now() + Milliseconds(2 * kWorkMs);
+  int number = m_next_request - static_cast<int>(connections.size());
   for (const auto& connection : connections) {
     Message message;
-    if (!connection->ReadMessage(message, until)) {
+    const bool complete = connection->ReadMessage(message, until);
+    m_record.Write("r" + std::to_string(number++) +
+                   (complete ? " answered " + message.Word(1)
+                             : std::string(" got no answer")));
+    if (!complete) {
       ++lost;
     } else if (message.Status() == 200) {
       ++answered;
@@ -125,8 +132,8 @@
   m_store.Put("keyed.op", "config",
               MakeConfiguration(1, kModelRoutes, R"(["key-a"])"));
   const int parts = HasTrouble() ? kManyParts : kFewParts;
-  for (int i = 0; i < parts; ++i) {
-    m_parts += i == 0 ? "a:1" : ",a:1";
+  for (int i = 1; i < parts; ++i) {  // The last part is the request's own.
+    m_parts += i == 1 ? "a:1" : ",a:1";
   }
   m_record.Write("each prompt has " + std::to_string(parts) + " parts");
   Fleet fleet(m_store.Address(), kMemoryMb);
--- a/review/round-2/tests/part_case.cc
+++ b/review/round-2/tests/part_case.cc
@@ -38,6 +38,7 @@
  private:
   bool HandleRequest(Worker& worker, const Message& request, Connection& out);
   bool Crash(Worker& worker, const std::string& id, Connection& out);
+  std::string Turns() const;
   std::string BadParts(int number) const;
   void Send(const Daemon& daemon, bool is_bad, int number);
   static std::string Head(const Worker& worker, const std::string& id) {
@@ -107,25 +108,27 @@
   return out.Write("0\r\n\r\n");
 }
 
-std::string PartCase::BadParts(int number) const {
-  const std::string n = std::to_string(number);
-  if (!m_long) {
-    return "5c1e07a2:800," + std::string(kBadPart) + ":410,0c" + n + ":50";
-  }
-  // The turns of a conversation, which nobody else has.
-  std::string parts = std::string(kBadPart) + ":800";
-  for (int turn = 0; turn < kTurns; ++turn) {
-    parts += ",0a" + n + "0b" + std::to_string(turn) + ":20";
+/// @return the turns of a conversation, which sound prompts share
+std::string PartCase::Turns() const {
+  std::string parts;
+  for (int turn = 0; m_long && turn < kTurns; ++turn) {
+    parts += ",0b" + std::to_string(turn) + ":20";
   }
-  return parts + ",0c" + n + ":50";
+  return parts;
+}
+
+std::string PartCase::BadParts(int number) const {
+  const std::string own = ",0c" + std::to_string(number) + ":50";
+  return m_long ? std::string(kBadPart) + ":800" + Turns() + own
+                : "5c1e07a2:800," + std::string(kBadPart) + ":410" + own;
 }
 
 void PartCase::Send(const Daemon& daemon, bool is_bad, int number) {
   const std::string n = std::to_string(number);
   const std::string parts = is_bad ? BadParts(number)
                                    : "5c1e07a2:800,0d" +
-                                         std::to_string(number % 7) +
-                                         ":410,0e" + n + ":50";
+                                         std::to_string(number % 7) + ":410" +
+                                         Turns() + ",0e" + n + ":50";
   const std::string id = (is_bad ? "bad-" : "sound-") + n;
   m_record.Write("sent " + id + " to " + daemon.Name());
   const Answer answer =
