--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/part_verdict.h"
@@ -46,8 +47,9 @@
   /// `sent_ms` of the newest message that the sender received from the
   /// receiver.
   std::uint64_t echo_ms = 0;
-  /// Offset at which the operator records known to the sender end.
-  std::uint64_t operator_end_offset = 0;
+  /// Position at which the operator records known to the sender end. Daemons of
+  /// earlier releases send no epoch.
+  LogPosition operator_end;
   /// Age of the sender's proof that no later operator record exists; nothing
   /// without a proof.
   std::optional<std::uint64_t> freshness_proof_age_ms;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -32,6 +32,7 @@
 constexpr std::size_t kPartVerdictsIndex = 17;
 constexpr std::size_t kUpstreamFailuresIndex = 18;
 constexpr std::size_t kStreamOriginsIndex = 19;
+constexpr std::size_t kOperatorEpochIndex = 20;
 
 /// A crash report without prompt parts has this number of elements; later
 /// daemons append the parts, which earlier ones ignore.
@@ -226,7 +227,7 @@
        std::move(encoded_updates),
        sent_ms,
        echo_ms,
-       operator_end_offset,
+       operator_end.offset,
        freshness_proof_age_ms ? json(*freshness_proof_age_ms) : json(),
        std::move(encoded_crashes),
        covers_zone,
@@ -235,7 +236,8 @@
        std::move(encoded_publications),
        std::move(encoded_verdicts),
        std::move(encoded_failures),
-       EncodeStreamOrigins(stream_origins)});
+       EncodeStreamOrigins(stream_origins),
+       operator_end.epoch});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -261,7 +263,7 @@
     }
     decoded.sent_ms = ReadMilliseconds(message.at(8));
     decoded.echo_ms = ReadMilliseconds(message.at(9));
-    decoded.operator_end_offset = ReadInteger<std::uint64_t>(message.at(10));
+    decoded.operator_end.offset = ReadInteger<std::uint64_t>(message.at(10));
     if (!message.at(11).is_null()) {
       decoded.freshness_proof_age_ms = ReadMilliseconds(message.at(11));
     }
@@ -294,6 +296,10 @@
       decoded.stream_origins =
           DecodeStreamOrigins(message.at(kStreamOriginsIndex));
     }
+    if (message.size() > kOperatorEpochIndex) {
+      decoded.operator_end.epoch =
+          ReadInteger<std::uint32_t>(message.at(kOperatorEpochIndex));
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -105,7 +105,7 @@
   message.sequence = 6;
   message.sent_ms = 7;
   message.echo_ms = 8;
-  message.operator_end_offset = 9;
+  message.operator_end = {30, 9};
   message.freshness_proof_age_ms = 10;
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
@@ -126,7 +126,7 @@
   UNSIGNED_LONGS_EQUAL(6, decoded.sequence);
   UNSIGNED_LONGS_EQUAL(7, decoded.sent_ms);
   UNSIGNED_LONGS_EQUAL(8, decoded.echo_ms);
-  UNSIGNED_LONGS_EQUAL(9, decoded.operator_end_offset);
+  CHECK((LogPosition{30, 9}) == decoded.operator_end);
   UNSIGNED_LONGS_EQUAL(10, *decoded.freshness_proof_age_ms);
   UNSIGNED_LONGS_EQUAL(13, decoded.loads.at(0).tokens);
   UNSIGNED_LONGS_EQUAL(14, decoded.weights_updates.at(0).version);
@@ -152,6 +152,9 @@
     nlohmann::json::to_msgpack(encoded, bytes);
     return GossipMessage::Decode(bytes);
   };
+  const auto without_epoch = decode_without_last();
+  UNSIGNED_LONGS_EQUAL(0, without_epoch.operator_end.epoch);
+  CHECK(without_epoch.stream_origins == message.stream_origins);
   const auto without_origins = decode_without_last();
   CHECK(without_origins.upstream_failures == message.upstream_failures);
   CHECK(without_origins.stream_origins.empty());
@@ -219,7 +222,7 @@
        {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
         nlohmann::json("1")}) {
     const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(30, variants.size());
+    UNSIGNED_LONGS_EQUAL(31, variants.size());
     for (const nlohmann::json& variant : variants) {
       std::string encoded;
       nlohmann::json::to_msgpack(variant, encoded);
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -79,6 +79,8 @@
   kUpstreamReportedUnreachable,
   kZoneUnreachable,
   kZoneReachable,
+  /// Times at which the platform's store came back from an older copy.
+  kStoreRestored,
   kCount,
 };
 
--- a/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 
+#include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/time.h"
 
 namespace jasminehatch::forwarding {
@@ -19,22 +19,23 @@
   /// other cache scopes until then would make its caches cold with each record.
   static constexpr std::chrono::milliseconds kReadingTime{800};
 
-  /// A peer has read the operators' records up to this offset.
-  void OnAnnounced(std::uint64_t end_offset, MonotonicTime now) {
-    if (end_offset > m_announced_end) {
+  /// A peer has read the operators' records up to this position.
+  void OnAnnounced(LogPosition end, MonotonicTime now) {
+    if (end > m_announced_end) {
       if (!HasUnreadRecords()) {
         m_behind_since = now;
       }
-      m_announced_end = end_offset;
+      m_announced_end = end;
       m_announced_at = now;
     }
   }
 
-  /// This daemon has read all records up to this offset, and there were no more
-  /// at this time.
-  void OnConfirmed(std::uint64_t end_offset, MonotonicTime confirmed_at) {
-    m_read_end = std::max(m_read_end, end_offset);
-    // A store that has lost records may never reach the announced offset again.
+  /// This daemon has read all records up to this position, and there were no
+  /// more at this time.
+  void OnConfirmed(LogPosition end, MonotonicTime confirmed_at) {
+    m_read_end = std::max(m_read_end, end);
+    // A store that has lost records, and names no epoch, may never reach the
+    // announced offset again.
     if (confirmed_at > m_announced_at) {
       m_announced_end = std::min(m_announced_end, m_read_end);
     }
@@ -49,10 +50,10 @@
  private:
   bool HasUnreadRecords() const { return m_announced_end > m_read_end; }
 
-  std::uint64_t m_announced_end = 0;
+  LogPosition m_announced_end;
   MonotonicTime m_announced_at{};
   MonotonicTime m_behind_since{};  ///< Since when there are unread records.
-  std::uint64_t m_read_end = 0;
+  LogPosition m_read_end;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/strong_id.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/cache_event.h"
@@ -30,13 +31,12 @@
 /// A read that was sent at `sent_at` returned the newest configuration.
 struct ConfigurationConfirmed {
   MonotonicTime sent_at{};
-  /// Offset after the operators' last record.
-  std::uint64_t end_offset = 0;
+  LogPosition end;  ///< Position after the operators' last record.
 };
 
-/// A peer has read the operators' records up to this offset.
+/// A peer has read the operators' records up to this position.
 struct OperatorRecordsAnnounced {
-  std::uint64_t end_offset = 0;
+  LogPosition end;
 };
 
 /// @brief An upstream's entry in the registry.
@@ -72,6 +72,9 @@
 /// All registry entries were read; upstreams without an entry are removed.
 struct UpstreamsListed {
   std::vector<UpstreamEntry> entries;
+  /// The registry has just come back from an older copy. What it says of
+  /// processes that this daemon knows, or knows to be gone, is outdated.
+  bool from_older_copy = false;
 };
 
 /// The registry had an entry of an upstream with this software version, which
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -14,6 +14,7 @@
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/options.h"
+#include "jasminehatch/detail/forwarding/removed_processes.h"
 #include "jasminehatch/detail/forwarding/removed_upstream_notices.h"
 #include "jasminehatch/detail/forwarding/software_history.h"
 #include "jasminehatch/detail/forwarding/upstream.h"
@@ -43,6 +44,11 @@
   /// Replaces all entries; removes upstreams without one.
   void ReplaceAll(std::span<const UpstreamEntry> entries, MonotonicTime now);
 
+  /// Adds the processes of which nothing is known. An older copy tells nothing
+  /// new of the others: they may have begun to drain, or left, after it.
+  void AddFromOlderCopy(std::span<const UpstreamEntry> entries,
+                        MonotonicTime now);
+
   void OnRegistryRecovered(MonotonicTime now, const Options& options) {
     m_removals_deferred_until = now + options.removal_grace_period;
   }
@@ -147,6 +153,7 @@
   std::map<std::string, std::vector<PublishedWeights>> m_published;
   std::optional<MonotonicTime> m_removals_deferred_until;
   RemovedUpstreamNotices m_removed_notices;
+  RemovedProcesses m_removed_processes;
   SoftwareHistory m_software_history;  ///< Of removed upstreams.
   std::uint64_t m_last_entry_number = 0;
 };
--- a/packages/core/include/jasminehatch/detail/relay/read_schedule.h
+++ b/packages/core/include/jasminehatch/detail/relay/read_schedule.h
@@ -1,9 +1,9 @@
 #ifndef JASMINEHATCH_DETAIL_RELAY_READ_SCHEDULE_H_
 #define JASMINEHATCH_DETAIL_RELAY_READ_SCHEDULE_H_
 
-#include <cstdint>
 #include <optional>
 
+#include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/relay/feed_role.h"
 
@@ -33,8 +33,8 @@
   /// Leaves it to others to read until then, while this daemon is a follower.
   void Defer(MonotonicTime until) { m_deferred_until = until; }
 
-  /// Records that a peer knows records up to an offset.
-  void OnAnnounced(std::uint64_t end, MonotonicTime now);
+  /// Records that a peer knows records up to a position.
+  void OnAnnounced(LogPosition end, MonotonicTime now);
 
   void OnReadSucceeded();
 
@@ -53,7 +53,7 @@
   Duration ReportedPause(MonotonicTime now) const;
 
   /// @return the time for which the next read is not needed
-  Duration TimeLeft(MonotonicTime now, std::uint64_t end) const;
+  Duration TimeLeft(MonotonicTime now, LogPosition end) const;
 
   /// @return whether this daemon reads for a freshness proof that it lacks
   bool MayReadForProof(MonotonicTime now) const;
@@ -65,7 +65,7 @@
   FeedRole m_role = FeedRole::kIndependent;
   std::optional<MonotonicTime> m_known_at;
   MonotonicTime m_deferred_until{};
-  std::uint64_t m_announced_end = 0;
+  LogPosition m_announced_end;
   MonotonicTime m_announced_at{};
   Duration m_retry_delay{};        ///< Of the latest failure; 0 for none.
   Duration m_read_pause{};         ///< Length of the latest pause.
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -59,6 +59,7 @@
     "upstream_reported_unreachable",
     "zone_unreachable",
     "zone_reachable",
+    "store_restored",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
 
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -46,7 +46,7 @@
       m_state.confirmed_at = event.sent_at;
     }
     m_state.cache_use.OnConfirmed(event.sent_at);
-    m_state.lag.OnConfirmed(event.end_offset, event.sent_at);
+    m_state.lag.OnConfirmed(event.end, event.sent_at);
   }
   void Apply(const UpstreamRegistered& event) {
     m_state.upstreams.Register(event.entry, m_now);
@@ -56,7 +56,11 @@
     m_state.upstreams.Remove(event.id, m_now);
   }
   void Apply(const UpstreamsListed& event) {
-    m_state.upstreams.ReplaceAll(event.entries, m_now);
+    if (event.from_older_copy) {
+      m_state.upstreams.AddFromOlderCopy(event.entries, m_now);
+    } else {
+      m_state.upstreams.ReplaceAll(event.entries, m_now);
+    }
     ReportColdUpstreams();
   }
   void Apply(const SoftwareVersionSeen& event) {
@@ -121,7 +125,7 @@
   void Apply(const EvacuationsListed& event);
 
   void Apply(const OperatorRecordsAnnounced& event) {
-    m_state.lag.OnAnnounced(event.end_offset, m_now);
+    m_state.lag.OnAnnounced(event.end, m_now);
   }
   void Apply(const UpstreamFailuresReported& event);
   void Apply(const StreamOriginsReceived& event);
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -30,6 +30,7 @@
 void UpstreamDirectory::Register(const UpstreamEntry& entry,
                                  MonotonicTime now,
                                  bool just_written) {
+  m_removed_processes.OnRegistered(entry.id);
   if (Upstream* known = Find(entry.id)) {
     if (known->entry.started_at == entry.started_at &&
         known->entry.service == entry.service &&
@@ -92,6 +93,7 @@
   if (upstream == nullptr) {
     return;
   }
+  m_removed_processes.Add(id, upstream->entry.started_at);
   if (m_removals_deferred_until && now < *m_removals_deferred_until) {
     // A later outage says nothing about an upstream that was removed before it.
     if (!upstream->removed_until) {
@@ -120,6 +122,20 @@
   }
 }
 
+void UpstreamDirectory::AddFromOlderCopy(std::span<const UpstreamEntry> entries,
+                                         MonotonicTime now) {
+  for (const UpstreamEntry& entry : entries) {
+    const Upstream* known = Find(entry.id);
+    const bool is_outdated =
+        known != nullptr
+            ? entry.started_at <= known->entry.started_at
+            : m_removed_processes.Contains(entry.id, entry.started_at);
+    if (!is_outdated) {
+      Register(entry, now, false);
+    }
+  }
+}
+
 void UpstreamDirectory::OnWeightsPublished(const WeightsPublished& published,
                                            MonotonicTime now) {
   std::vector<PublishedWeights>& versions = m_published[published.model];
--- a/packages/core/src/relay/read_schedule.cc
+++ b/packages/core/src/relay/read_schedule.cc
@@ -41,7 +41,7 @@
 void ReadSchedule::OnKnown(MonotonicTime known_at) {
   m_known_at = std::max(m_known_at.value_or(known_at), known_at);
   if (known_at > m_announced_at) {
-    m_announced_end = 0;
+    m_announced_end = {};
   }
 }
 
@@ -57,7 +57,7 @@
   return has_failed || may_wait;
 }
 
-void ReadSchedule::OnAnnounced(std::uint64_t end, MonotonicTime now) {
+void ReadSchedule::OnAnnounced(LogPosition end, MonotonicTime now) {
   if (end > m_announced_end) {
     m_announced_end = end;
     m_announced_at = now;
@@ -97,7 +97,7 @@
                                   Duration::zero());
 }
 
-Duration ReadSchedule::TimeLeft(MonotonicTime now, std::uint64_t end) const {
+Duration ReadSchedule::TimeLeft(MonotonicTime now, LogPosition end) const {
   // A reader whose reads fail may know the feed from another daemon.
   const bool reads =
       m_role == FeedRole::kIndependent ||
--- a/packages/core/tests/cache_scope_test.cc
+++ b/packages/core/tests/cache_scope_test.cc
@@ -92,7 +92,8 @@
 /// Applies a configuration as the operators' last record before its version.
 void Read(ForwardingFixture& fixture, const Configuration& configuration) {
   fixture.Apply(ConfigurationRead{configuration});
-  fixture.Apply(ConfigurationConfirmed{fixture.Now(), configuration.version});
+  fixture.Apply(
+      ConfigurationConfirmed{fixture.Now(), {0, configuration.version}});
 }
 
 void Configure(ForwardingFixture& fixture,
@@ -350,7 +351,7 @@
   Configure(fixture, 2, Standing::kShared);
   const std::string before = SaltFor(fixture, "key-a");
   STRCMP_EQUAL(before.c_str(), SaltFor(fixture, "key-c").c_str());
-  fixture.Apply(OperatorRecordsAnnounced{3});
+  fixture.Apply(OperatorRecordsAnnounced{{0, 3}});
   // The daemon usually reads the record at once.
   STRCMP_EQUAL(before.c_str(), SaltFor(fixture, "key-a").c_str());
   fixture.Wait(kBehind);
@@ -376,7 +377,7 @@
   Configure(fixture, 2, Standing::kShared);
   const std::string before =
       OnlyStart(fixture.Send("/resume/", "key-c")).cache_plan->salt;
-  fixture.Apply(OperatorRecordsAnnounced{3});
+  fixture.Apply(OperatorRecordsAnnounced{{0, 3}});
   fixture.Wait(kBehind);
   const std::string after =
       OnlyStart(fixture.End(AttemptOutcome::kBroken)).cache_plan->salt;
@@ -392,29 +393,29 @@
   Configure(fixture, 5, Standing::kShared);
   const std::string shared = SaltFor(fixture, "key-a");
   const auto shares = [&] { return SaltFor(fixture, "key-c") == shared; };
-  fixture.Apply(OperatorRecordsAnnounced{4});
-  fixture.Apply(OperatorRecordsAnnounced{5});
+  fixture.Apply(OperatorRecordsAnnounced{{0, 4}});
+  fixture.Apply(OperatorRecordsAnnounced{{0, 5}});
   CHECK(shares());
   const auto announce = [&](std::uint64_t end_offset) {
     const MonotonicTime at = fixture.Now();
-    fixture.Apply(OperatorRecordsAnnounced{end_offset});
+    fixture.Apply(OperatorRecordsAnnounced{{0, end_offset}});
     fixture.Wait(kBehind);
     return at;
   };
   const MonotonicTime first = announce(9);
   CHECK(!shares());
   // These reads were sent before the records were announced.
-  fixture.Apply(ConfigurationConfirmed{first - 1ms, 5});
-  fixture.Apply(ConfigurationConfirmed{first, 8});
+  fixture.Apply(ConfigurationConfirmed{first - 1ms, {0, 5}});
+  fixture.Apply(ConfigurationConfirmed{first, {0, 8}});
   CHECK(!shares());
-  fixture.Apply(ConfigurationConfirmed{first - 1ms, 9});
+  fixture.Apply(ConfigurationConfirmed{first - 1ms, {0, 9}});
   CHECK(shares());
   const MonotonicTime second = announce(12);
   CHECK(!shares());
   // Later records do not prolong the time for which unread ones are allowed.
   announce(13);
   CHECK(!shares());
-  fixture.Apply(ConfigurationConfirmed{second + kBehind + 1ms, 9});
+  fixture.Apply(ConfigurationConfirmed{second + kBehind + 1ms, {0, 9}});
   CHECK(shares());
 
   Configuration open = fixture.MakeConfiguration(6);
@@ -470,7 +471,7 @@
       for (ForwardingFixture& daemon : daemons) {
         daemon.Wait(1ms);
         if (late && &daemon == &daemons[1]) {
-          daemon.Apply(OperatorRecordsAnnounced{version});
+          daemon.Apply(OperatorRecordsAnnounced{{0, version}});
           daemon.Wait(kBehind);
           ++late_steps;
           continue;
--- a/packages/core/tests/store_calls_test.cc
+++ b/packages/core/tests/store_calls_test.cc
@@ -170,7 +170,7 @@
   }
 
   void Read(Daemon& daemon) {
-    const Duration left = daemon.schedule.TimeLeft(m_now, 0);
+    const Duration left = daemon.schedule.TimeLeft(m_now, {});
     if (left > Duration::zero()) {
       daemon.read_at = m_now + std::min<Duration>(left, kRoleCheckInterval);
       return;
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/json/gossip_message.h"
 #include "jasminehatch/detail/relay/reader_ranking.h"
@@ -64,9 +65,10 @@
   using DatagramHandler = std::function<void(std::string_view bytes)>;
 
   /// @brief Knowledge that the operators had written no record at or after
-  /// `end_offset` at the time `confirmed_at`.
+  /// `end` at the time `confirmed_at`. A proof of one epoch of the store says
+  /// nothing of another.
   struct FreshnessProof {
-    std::uint64_t end_offset = 0;
+    LogPosition end;
     MonotonicTime confirmed_at{};
   };
 
@@ -130,6 +132,10 @@
   /// Includes origins of streams in the next messages.
   void Share(std::span<const forwarding::StreamOrigin> origins);
 
+  /// Writes this daemon's address again after a random delay, and reads those
+  /// of the others: the store may have lost them.
+  void RegisterAgain();
+
   /// Tells the peers that this daemon was asked to stop: they no longer count
   /// it as live. It goes on exchanging messages until `Stop`, since a daemon
   /// that starts meanwhile may not know of anyone else.
@@ -175,6 +181,7 @@
   /// @return whether the peer is heard and was not asked to stop
   static bool IsLive(const Peer& peer, MonotonicTime now);
   void Register();
+  void RegisterAfter(std::chrono::milliseconds delay);
   void ReadPeers();
   void ReadPeersAfter(std::chrono::milliseconds delay);
   /// Repeats the read, and announces this daemon, if upstreams have a warm-up.
--- a/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/topic_follower.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarder/relayed_feed.h"
 #include "jasminehatch/detail/relay/read_schedule.h"
@@ -34,9 +35,18 @@
 
 namespace jasminehatch::daemon {
 
+/// @brief What the absence of a record in a snapshot says.
+enum class SnapshotKind {
+  kComplete,  ///< A key without a record does not exist.
+  /// The store has come back from an older copy: until the writers have written
+  /// again what it lost, later records may be missing, and removed ones back.
+  kOlderCopy,
+};
+
 /// @brief Follows a keyed topic of the platform's store: reads the newest
 /// record of each key, then each further record in order. Starts over when
-/// records were compacted away before they were read.
+/// records were compacted away before they were read, and when the store came
+/// back from an older copy: its offsets then name other records.
 ///
 /// In a large zone it is a relayed feed: a reader's reads also serve the
 /// followers, which read by themselves only when what they know is too old.
@@ -54,6 +64,10 @@
     std::chrono::milliseconds max_relayed_age{0};
     /// Length from which followers are told of an outage of the reader.
     std::chrono::milliseconds notable_outage{800};
+    /// Time after the store came back from an older copy by which the writers
+    /// have written again what it lost, and entries that nobody writes any more
+    /// have expired. The next snapshot after it is complete.
+    std::chrono::milliseconds settle_time{5000};
     /// Tells records that only renew their key. Without it, records are not
     /// relayed: followers only learn that there are some, and read them. The
     /// same holds for records above `relay::kMaxRelayedValueBytes`.
@@ -61,8 +75,9 @@
   };
 
   struct Callbacks {
-    /// The newest record of each key; keys without one do not exist.
-    std::function<void(std::span<const platform::StoreRecord>)> on_snapshot;
+    /// The newest record of each key.
+    std::function<void(std::span<const platform::StoreRecord>, SnapshotKind)>
+        on_snapshot;
     /// Further records, in order.
     std::function<void(std::span<const platform::StoreRecord>)> on_records;
     /// A read that was sent at this time reached the newest record.
@@ -95,16 +110,24 @@
   /// or other daemons of the zone look for one that can read.
   void ReadForProof();
 
-  /// Records that a peer knows records up to this offset. A follower reads them
-  /// by itself only if they are not relayed soon; others read at once, and
+  /// Records that a peer knows records up to this position. A follower reads
+  /// them by itself only if they are not relayed soon; others read at once, and
   /// again after a pause if they still lack them.
-  void OnRecordsAnnounced(std::uint64_t end);
+  void OnRecordsAnnounced(LogPosition end);
+
+  /// Starts over if the store named a higher epoch than that of the records
+  /// already read.
+  void OnStoreEpoch(std::uint32_t epoch);
 
   /// Records that a peer proved that nothing followed the end offset then.
   void OnPeerProof(MonotonicTime known_at) { m_schedule.OnKnown(known_at); }
 
-  /// @return the offset after the last record read; empty before the first read
-  std::optional<std::uint64_t> EndOffset() const { return m_end_offset; }
+  /// @return the position after the last record read; empty before the first
+  /// read of an epoch
+  std::optional<LogPosition> End() const {
+    return m_end_offset ? std::optional(LogPosition{m_epoch, *m_end_offset})
+                        : std::nullopt;
+  }
 
   relay::FeedRole Role() const { return m_schedule.Role(); }
 
@@ -120,7 +143,13 @@
 
  private:
   void ReadSnapshot();
+  /// Drops all reads in progress and reads a snapshot at once.
+  void StartOver();
   void Read();
+  /// @return why a response cannot be used: empty if it can
+  std::string CheckEpoch(const platform::StorePage& page) const;
+  /// @return how long the next read may wait for a record
+  std::chrono::milliseconds MaxWait() const;
   /// Reads records that a peer knows of, unless it was tried just now.
   void ReadMissingRecords();
   std::chrono::milliseconds Pause() const;
@@ -160,8 +189,14 @@
   Options m_options;
   Callbacks m_callbacks;
   asio::steady_timer m_timer;
+  std::uint32_t m_epoch = 0;  ///< Epoch of the store that offsets belong to.
   std::uint64_t m_next_offset = 0;
   std::optional<std::uint64_t> m_end_offset;
+  /// Increases when the reads in progress become obsolete.
+  std::uint64_t m_generation = 0;
+  bool m_reading_snapshot = false;
+  /// When snapshots are complete again after the store was restored, if it was.
+  std::optional<MonotonicTime> m_settled_at;
   std::optional<MonotonicTime> m_failing_since;
   bool m_outage_reported = false;
   bool m_extra_read_pending = false;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -125,7 +125,7 @@
       m_metrics.CountStoreCall(call);
     });
     m_store.SetEpochObserver(
-        [this](std::uint32_t epoch) { m_rollout.OnStoreEpoch(epoch); });
+        [this](std::uint32_t epoch) { OnStoreEpoch(epoch); });
     Listen();
     m_engines.SetNoticeCallback(
         [this](const forwarding::Event& notice) { m_host.Apply(notice); });
@@ -193,6 +193,8 @@
   void Listen();
   TopicFollower::Callbacks ConfigurationCallbacks();
   TopicFollower::Callbacks RegistryCallbacks();
+  /// Called when the store names its first or a higher epoch.
+  void OnStoreEpoch(std::uint32_t epoch);
   /// Logs that reads of `dependency` succeed again.
   void LogRecovery(std::string_view dependency, Duration outage);
   /// Called when records of the operators were applied.
@@ -234,6 +236,7 @@
   std::function<void()> m_on_stopped;
   MonotonicTime m_stop_requested_at{};
   MonotonicTime m_exit_at{};  ///< Latest end of a process that is stopping.
+  std::uint32_t m_store_epoch = 0;  ///< Highest one that the store named.
   bool m_stopping = false;
   bool m_accepting = true;
 };
@@ -251,8 +254,8 @@
 
 TopicFollower::Callbacks Forwarder::Impl::ConfigurationCallbacks() {
   TopicFollower::Callbacks callbacks;
-  callbacks.on_snapshot = [this](auto records) {
-    m_operator_records.ApplySnapshot(records);
+  callbacks.on_snapshot = [this](auto records, SnapshotKind kind) {
+    m_operator_records.ApplySnapshot(records, kind);
     OnConfigurationRead();
   };
   callbacks.on_records = [this](auto records) {
@@ -273,8 +276,8 @@
 
 TopicFollower::Callbacks Forwarder::Impl::RegistryCallbacks() {
   TopicFollower::Callbacks callbacks;
-  callbacks.on_snapshot = [this](auto records) {
-    m_upstream_records.ApplySnapshot(records);
+  callbacks.on_snapshot = [this](auto records, SnapshotKind kind) {
+    m_upstream_records.ApplySnapshot(records, kind);
     m_rollout.Update();
   };
   callbacks.on_records = [this](auto records) {
@@ -295,6 +298,25 @@
   return callbacks;
 }
 
+void Forwarder::Impl::OnStoreEpoch(std::uint32_t epoch) {
+  const std::uint32_t before = std::exchange(m_store_epoch, epoch);
+  const std::string number = std::to_string(epoch);
+  const std::string previous = std::to_string(before);
+  const std::array fields{DecisionLogField{"epoch", number},
+                          DecisionLogField{"before", previous}};
+  m_log.Write(DecisionLog::Level::kState,
+              before == 0 ? "store_epoch_known" : "store_restored", fields);
+  m_rollout.OnStoreEpoch(epoch);
+  m_configuration.OnStoreEpoch(epoch);
+  m_registry.OnStoreEpoch(epoch);
+  if (before != 0) {
+    m_metrics.Count(Counter::kStoreRestored);
+    if (m_gossip) {
+      m_gossip->RegisterAgain();
+    }
+  }
+}
+
 void Forwarder::Impl::LogRecovery(std::string_view dependency,
                                   Duration outage) {
   LogDependency(m_log, "dependency_regained", dependency,
--- a/packages/daemon/src/forwarder/freshness_proof_renewal.cc
+++ b/packages/daemon/src/forwarder/freshness_proof_renewal.cc
@@ -52,14 +52,14 @@
 
 void FreshnessProofRenewal::Confirm(MonotonicTime sent_at) {
   m_host.Apply(forwarding::ConfigurationConfirmed{
-      sent_at, m_configuration.EndOffset().value_or(0)});
+      sent_at, m_configuration.End().value_or(LogPosition{})});
 }
 
 void FreshnessProofRenewal::ShareWith(PeerGossip& gossip) {
   m_gossip = &gossip;
   m_gossip->ShareFreshnessProofs(
       [this]() -> std::optional<PeerGossip::FreshnessProof> {
-        const auto end = m_configuration.EndOffset();
+        const auto end = m_configuration.End();
         const auto& confirmed = m_host.State().confirmed_at;
         if (!end || !confirmed) {
           return std::nullopt;
@@ -67,13 +67,13 @@
         return PeerGossip::FreshnessProof{*end, *confirmed};
       },
       [this](const PeerGossip::FreshnessProof& proof) {
-        const auto end = m_configuration.EndOffset();
-        if (end && proof.end_offset == *end) {
+        const auto end = m_configuration.End();
+        if (end && proof.end == *end) {
           m_host.Apply(forwarding::ConfigurationConfirmed{proof.confirmed_at,
-                                                          proof.end_offset});
+                                                          proof.end});
           m_configuration.OnPeerProof(proof.confirmed_at);
-        } else if (end && proof.end_offset > *end) {
-          m_configuration.OnRecordsAnnounced(proof.end_offset);
+        } else if (end && proof.end > *end) {
+          m_configuration.OnRecordsAnnounced(proof.end);
         }
       });
 }
--- a/packages/daemon/src/forwarder/operator_records.cc
+++ b/packages/daemon/src/forwarder/operator_records.cc
@@ -6,14 +6,18 @@
 #include "dependency_log.h"
 #include "jasminehatch/detail/base/exception.h"
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/platform.h"
 
 namespace jasminehatch::daemon {
 
 void OperatorRecords::ApplySnapshot(
-    std::span<const platform::StoreRecord> records) {
-  m_host.Apply(
-      forwarding::EvacuationsListed{platform::EvacuatedZones(records)});
+    std::span<const platform::StoreRecord> records,
+    SnapshotKind kind) {
+  if (kind == SnapshotKind::kComplete) {
+    m_host.Apply(
+        forwarding::EvacuationsListed{platform::EvacuatedZones(records)});
+  }
   for (const platform::StoreRecord& record : records) {
     Apply(record, false);
   }
--- a/packages/daemon/src/forwarder/operator_records.h
+++ b/packages/daemon/src/forwarder/operator_records.h
@@ -14,6 +14,7 @@
 namespace jasminehatch::daemon {
 
 class ForwardingHost;
+enum class SnapshotKind;
 
 /// @brief Decodes the records that the operators wrote to the platform's store
 /// and applies them. A record that cannot be decoded is logged and skipped.
@@ -22,9 +23,10 @@
   OperatorRecords(ForwardingHost& host, telemetry::DecisionLog& log)
       : m_host(host), m_log(log) {}
 
-  /// Ends the evacuations without a record in the snapshot, and applies its
-  /// records.
-  void ApplySnapshot(std::span<const platform::StoreRecord> records);
+  /// Applies the records of a snapshot. If it is complete, the evacuations
+  /// without a record end.
+  void ApplySnapshot(std::span<const platform::StoreRecord> records,
+                     SnapshotKind kind);
 
   /// Applies records that were just written.
   void ApplyChanges(std::span<const platform::StoreRecord> records);
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -76,6 +76,10 @@
 
 constexpr milliseconds kRegisterRetryDelay{1000};
 
+/// Maximum delay before a daemon writes its address again, so that the daemons
+/// do not all write in the moment in which the store has come back.
+constexpr milliseconds kMaxRegisterAgainDelay{2000};
+
 /// Where upstreams have a warm-up, a daemon reads the addresses again at these
 /// times after the read before, and sends a message to each daemon. It and
 /// others that start with it then know of each other before they send requests
@@ -151,16 +155,27 @@
                           ReadPeers();
                           return;
                         }
-                        m_register_timer.expires_after(kRegisterRetryDelay);
-                        m_register_timer.async_wait(WhileAlive(
-                            m_alive, [this](const asio::error_code& error) {
-                              if (!error) {
-                                Register();
-                              }
-                            }));
+                        RegisterAfter(kRegisterRetryDelay);
                       });
 }
 
+void PeerGossip::RegisterAfter(milliseconds delay) {
+  m_register_timer.expires_after(delay);
+  m_register_timer.async_wait(
+      WhileAlive(m_alive, [this](const asio::error_code& error) {
+        if (!error) {
+          Register();
+        }
+      }));
+}
+
+void PeerGossip::RegisterAgain() {
+  if (!m_stopped) {
+    RegisterAfter(milliseconds(std::uniform_int_distribution<std::int64_t>(
+        0, kMaxRegisterAgainDelay.count())(m_random)));
+  }
+}
+
 void PeerGossip::ReadPeers() {
   m_store.ReadNewest(
       platform::kDaemonTopic, [this](const platform::StorePage& page) {
@@ -314,8 +329,7 @@
   found->second.capacity = message.capacity;
   found->second.stopping = message.stopping;
   if (message.freshness_proof_age_ms) {
-    m_host.Apply(
-        forwarding::OperatorRecordsAnnounced{message.operator_end_offset});
+    m_host.Apply(forwarding::OperatorRecordsAnnounced{message.operator_end});
   }
   if (m_on_peer_proof && message.freshness_proof_age_ms &&
       message.echo_ms > 0) {
@@ -326,7 +340,7 @@
     // transit or queued here.
     const auto at = MonotonicTime(milliseconds(message.echo_ms)) -
                     milliseconds(*message.freshness_proof_age_ms);
-    m_on_peer_proof({message.operator_end_offset, at});
+    m_on_peer_proof({message.operator_end, at});
   }
   m_host.Apply(
       forwarding::PeerHeard{message.daemon, message.zone, message.stopping});
@@ -509,7 +523,7 @@
   message.sent_ms = static_cast<std::uint64_t>(
       std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
   if (const auto proof = m_get_own_proof ? m_get_own_proof() : std::nullopt) {
-    message.operator_end_offset = proof->end_offset;
+    message.operator_end = proof->end;
     message.freshness_proof_age_ms = static_cast<std::uint64_t>(
         std::chrono::ceil<milliseconds>(now - proof->confirmed_at).count());
   }
--- a/packages/daemon/src/forwarder/topic_follower.cc
+++ b/packages/daemon/src/forwarder/topic_follower.cc
@@ -34,6 +34,10 @@
 /// `ZoneRelay` sends in a datagram.
 constexpr std::size_t kMaxPartBytes = 6000;
 
+/// Maximum delay of a follower's first read of an epoch, so that the daemons of
+/// a large zone do not all read in the same moment.
+constexpr std::chrono::milliseconds kMaxRestartDelay{500};
+
 /// Records that arrived corrupted in a row before one is read from the store.
 constexpr std::size_t kMaxCorruptedRecords = 2;
 
@@ -45,6 +49,13 @@
   return {record.offset, record.key, record.value, record.removed};
 }
 
+/// @return the position that a daemon has reached in a feed, or that the
+/// changes of a feed lead to
+template <typename Feed>
+LogPosition PositionOf(const Feed& feed) {
+  return {static_cast<std::uint32_t>(feed.epoch), feed.position};
+}
+
 std::uint64_t AgeInMilliseconds(Duration age) {
   return static_cast<std::uint64_t>(
       std::chrono::ceil<std::chrono::milliseconds>(
@@ -72,11 +83,21 @@
 
 void TopicFollower::ReadSnapshot() {
   const MonotonicTime sent_at = m_clock.Now();
+  m_reading_snapshot = true;
   m_store.ReadNewest(
-      m_options.topic, [this, sent_at](const platform::StorePage& page) {
-        if (page.status != platform::StorePage::Status::kRead) {
+      m_options.topic, [this, sent_at, generation = m_generation](
+                           const platform::StorePage& page) {
+        OnStoreEpoch(page.epoch);
+        if (generation != m_generation) {
+          return;
+        }
+        m_reading_snapshot = false;
+        const std::string outdated = CheckEpoch(page);
+        if (page.status != platform::StorePage::Status::kRead ||
+            !outdated.empty()) {
           // A later read finds out again that a snapshot is needed.
-          const std::chrono::milliseconds delay = OnReadFailed(page.detail);
+          const std::chrono::milliseconds delay =
+              OnReadFailed(outdated.empty() ? page.detail : outdated);
           m_retrying = m_end_offset.has_value();
           Schedule(delay, m_end_offset ? &TopicFollower::Read
                                        : &TopicFollower::ReadSnapshot);
@@ -93,6 +114,60 @@
       });
 }
 
+void TopicFollower::OnStoreEpoch(std::uint32_t epoch) {
+  if (epoch <= m_epoch) {
+    return;
+  }
+  const bool first = m_epoch == 0 && !m_end_offset;
+  m_epoch = epoch;
+  if (first) {
+    return;
+  }
+  m_end_offset.reset();
+  m_next_offset = 0;
+  m_large_record = {};
+  m_digest.reset();
+  if (m_mirror) {
+    m_mirror.emplace(m_options.is_renewal);
+  }
+  m_settled_at = m_clock.Now() + m_options.settle_time;
+  ++m_generation;
+  m_extra_read_pending = false;
+  m_reading_snapshot = false;
+  m_retrying = false;
+  const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+  const double fraction = Role() == relay::FeedRole::kFollower ? draw : 0;
+  Schedule(std::chrono::duration_cast<std::chrono::milliseconds>(
+               kMaxRestartDelay * fraction),
+           &TopicFollower::ReadSnapshot);
+}
+
+void TopicFollower::StartOver() {
+  if (m_reading_snapshot) {
+    return;
+  }
+  ++m_generation;
+  m_extra_read_pending = false;
+  m_timer.cancel();
+  ReadSnapshot();
+}
+
+std::string TopicFollower::CheckEpoch(const platform::StorePage& page) const {
+  return page.epoch < m_epoch &&
+                 page.status != platform::StorePage::Status::kFailed
+             ? "the response is of an earlier epoch of the store"
+             : "";
+}
+
+std::chrono::milliseconds TopicFollower::MaxWait() const {
+  if (!m_settled_at) {
+    return m_options.max_wait;
+  }
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(*m_settled_at -
+                                                                 m_clock.Now());
+  return std::clamp(left, std::chrono::milliseconds(0), m_options.max_wait);
+}
+
 bool TopicFollower::IsOutdated(const platform::StorePage& page,
                                MonotonicTime sent_at) const {
   const auto known_at = m_schedule.KnownAt();
@@ -110,7 +185,12 @@
     }
     m_mirror->Reset(records, page.end);
   }
-  m_callbacks.on_snapshot(page.records);
+  const bool settled = !m_settled_at || m_clock.Now() >= *m_settled_at;
+  if (settled) {
+    m_settled_at.reset();
+  }
+  m_callbacks.on_snapshot(page.records, settled ? SnapshotKind::kComplete
+                                                : SnapshotKind::kOlderCopy);
 }
 
 void TopicFollower::OnCaughtUp(MonotonicTime known_at) {
@@ -124,7 +204,12 @@
 }
 
 void TopicFollower::Read() {
-  const Duration left = m_schedule.TimeLeft(m_clock.Now(), m_next_offset);
+  if (m_settled_at && m_clock.Now() >= *m_settled_at) {
+    ReadSnapshot();
+    return;
+  }
+  const Duration left =
+      m_schedule.TimeLeft(m_clock.Now(), {m_epoch, m_next_offset});
   if (left > Duration::zero()) {
     // The role may change meanwhile.
     Schedule(std::min(std::chrono::ceil<std::chrono::milliseconds>(left),
@@ -134,7 +219,7 @@
   }
   // A retry shows at once whether the store can be read again.
   const bool retry = std::exchange(m_retrying, false) && m_failing_since;
-  SendRead(retry ? std::chrono::milliseconds(0) : m_options.max_wait, true);
+  SendRead(retry ? std::chrono::milliseconds(0) : MaxWait(), true);
 }
 
 void TopicFollower::ReadForProof() {
@@ -144,7 +229,7 @@
   }
 }
 
-void TopicFollower::OnRecordsAnnounced(std::uint64_t end) {
+void TopicFollower::OnRecordsAnnounced(LogPosition end) {
   m_schedule.OnAnnounced(end, m_clock.Now());
   if (Role() != relay::FeedRole::kFollower) {
     ReadMissingRecords();
@@ -171,7 +256,12 @@
                              bool schedule_next) {
   const MonotonicTime sent_at = m_clock.Now();
   m_store.Read(m_options.topic, m_next_offset, wait,
-               [this, sent_at, schedule_next](const platform::StorePage& page) {
+               [this, sent_at, schedule_next,
+                generation = m_generation](const platform::StorePage& page) {
+                 OnStoreEpoch(page.epoch);
+                 if (generation != m_generation) {
+                   return;
+                 }
                  if (!schedule_next) {
                    m_extra_read_pending = false;
                  }
@@ -182,23 +272,21 @@
 void TopicFollower::OnPage(const platform::StorePage& page,
                            MonotonicTime sent_at,
                            bool schedule_next) {
-  switch (page.status) {
-    case platform::StorePage::Status::kFailed: {
-      const std::chrono::milliseconds delay = OnReadFailed(page.detail);
-      if (schedule_next) {
-        m_retrying = true;
-        Schedule(delay, &TopicFollower::Read);
-      }
-      return;
+  const std::string outdated = CheckEpoch(page);
+  if (page.status == platform::StorePage::Status::kFailed ||
+      !outdated.empty()) {
+    const std::chrono::milliseconds delay =
+        OnReadFailed(outdated.empty() ? page.detail : outdated);
+    if (schedule_next) {
+      m_retrying = true;
+      Schedule(delay, &TopicFollower::Read);
     }
-    case platform::StorePage::Status::kCompacted:
-      OnReadSucceeded();
-      if (schedule_next) {
-        ReadSnapshot();
-      }
-      return;
-    case platform::StorePage::Status::kRead:
-      break;
+    return;
+  }
+  if (page.status == platform::StorePage::Status::kCompacted) {
+    OnReadSucceeded();
+    StartOver();
+    return;
   }
   OnReadSucceeded();
   Deliver(page);
@@ -247,7 +335,7 @@
   if (!m_end_offset) {
     return std::nullopt;
   }
-  codec::FeedPosition position{0, 0, m_next_offset, {}};
+  codec::FeedPosition position{0, m_epoch, m_next_offset, {}};
   // Without it, the reader answers that there are records to read.
   if (m_large_record.Corrupted() < kMaxCorruptedRecords) {
     position.large_record = m_large_record.Received();
@@ -259,21 +347,23 @@
     const codec::FeedPosition& position,
     std::size_t max_bytes) const {
   const auto known_at = m_schedule.KnownAt();
-  if (!m_end_offset || !known_at || position.position > m_next_offset) {
+  const LogPosition own{m_epoch, m_next_offset};
+  if (!m_end_offset || !known_at || PositionOf(position) > own) {
     return std::nullopt;
   }
   using Status = codec::FeedDelta::Status;
   const MonotonicTime now = m_clock.Now();
   codec::FeedDelta delta;
+  delta.epoch = m_epoch;
   delta.position = m_next_offset;
   delta.age_ms = AgeInMilliseconds(now - *known_at);
   if (m_recovered_at && now - *m_recovered_at <= kRecoveryNoticeTime) {
     delta.recovered_age_ms = AgeInMilliseconds(now - *m_recovered_at);
   }
-  if (position.position == m_next_offset) {
+  if (PositionOf(position) == own) {
     return delta;
   }
-  if (!FillChanges(position, max_bytes, delta)) {
+  if (position.epoch != m_epoch || !FillChanges(position, max_bytes, delta)) {
     delta.status = Status::kMissing;
   }
   return delta;
@@ -324,11 +414,13 @@
 
 void TopicFollower::Accept(const codec::FeedDelta& delta,
                            MonotonicTime known_at) {
-  if (!m_end_offset || delta.position < m_next_offset) {
+  const LogPosition own{m_epoch, m_next_offset};
+  if (!m_end_offset || PositionOf(delta) < own) {
     return;
   }
-  if (delta.status == codec::FeedDelta::Status::kMissing) {
-    if (delta.position > m_next_offset) {
+  if (delta.epoch != m_epoch ||
+      delta.status == codec::FeedDelta::Status::kMissing) {
+    if (PositionOf(delta) > own) {
       ReadMissingRecords();
     }
     return;
--- a/packages/daemon/src/forwarder/upstream_records.cc
+++ b/packages/daemon/src/forwarder/upstream_records.cc
@@ -4,13 +4,16 @@
 
 #include "dependency_log.h"
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
+#include "jasminehatch/detail/forwarder/topic_follower.h"
 #include "jasminehatch/platform.h"
 
 namespace jasminehatch::daemon {
 
 void UpstreamRecords::ApplySnapshot(
-    std::span<const platform::StoreRecord> records) {
+    std::span<const platform::StoreRecord> records,
+    SnapshotKind kind) {
   forwarding::UpstreamsListed listed;
+  listed.from_older_copy = kind == SnapshotKind::kOlderCopy;
   for (const platform::StoreRecord& record : records) {
     if (auto entry = Decode(record)) {
       listed.entries.push_back(std::move(*entry));
--- a/packages/daemon/src/forwarder/upstream_records.h
+++ b/packages/daemon/src/forwarder/upstream_records.h
@@ -17,6 +17,7 @@
 namespace jasminehatch::daemon {
 
 class ForwardingHost;
+enum class SnapshotKind;
 
 /// @brief Decodes the records of the registry of upstreams and applies them. A
 /// record that cannot be decoded is logged and skipped.
@@ -25,8 +26,10 @@
   UpstreamRecords(ForwardingHost& host, telemetry::DecisionLog& log)
       : m_host(host), m_log(log) {}
 
-  /// Replaces all upstreams by those of the snapshot.
-  void ApplySnapshot(std::span<const platform::StoreRecord> records);
+  /// Replaces all upstreams by those of a complete snapshot. One of an older
+  /// copy only adds upstreams.
+  void ApplySnapshot(std::span<const platform::StoreRecord> records,
+                     SnapshotKind kind);
 
   /// Applies records that were just written, in order.
   void ApplyChanges(std::span<const platform::StoreRecord> records);
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -358,13 +358,14 @@
   left.gossip.ShareFreshnessProofs(
       [&] {
         return std::optional(daemon::PeerGossip::FreshnessProof{
-            end_offset, fixture.clock.Now()});
+            {1, end_offset}, fixture.clock.Now()});
       },
       [](const auto& /*proof*/) {});
   std::size_t proofs = 0;
   right.gossip.ShareFreshnessProofs([] { return std::nullopt; },
                                     [&](const auto& /*proof*/) { ++proofs; });
-  right.host.Apply(forwarding::ConfigurationConfirmed{fixture.clock.Now(), 7});
+  right.host.Apply(
+      forwarding::ConfigurationConfirmed{fixture.clock.Now(), {1, 7}});
   const auto is_behind = [&] {
     return right.host.State().lag.IsBehind(fixture.clock.Now());
   };
@@ -372,6 +373,7 @@
   CHECK(!is_behind());
   end_offset = 8;
   CHECK(fixture.RunUntil(is_behind));
-  right.host.Apply(forwarding::ConfigurationConfirmed{fixture.clock.Now(), 8});
+  right.host.Apply(
+      forwarding::ConfigurationConfirmed{fixture.clock.Now(), {1, 8}});
   CHECK(!is_behind());
 }
--- a/packages/daemon/tests/zone_relay_test.cc
+++ b/packages/daemon/tests/zone_relay_test.cc
@@ -90,11 +90,11 @@
   }
 
   relay::FeedRole Role() const { return m_follower.Role(); }
-  bool HasRead() const { return m_follower.EndOffset().has_value(); }
+  bool HasRead() const { return m_follower.End().has_value(); }
   std::size_t Recoveries() const { return m_recoveries; }
 
   /// Tells the daemon that a peer knows records up to an offset.
-  void Announce(std::uint64_t end) { m_follower.OnRecordsAnnounced(end); }
+  void Announce(std::uint64_t end) { m_follower.OnRecordsAnnounced({1, end}); }
 
  private:
   static daemon::TopicFollower::Options TopicOptions(const Options& options) {
@@ -109,7 +109,7 @@
 
   daemon::TopicFollower::Callbacks Callbacks() {
     daemon::TopicFollower::Callbacks callbacks;
-    callbacks.on_snapshot = [this](auto records) {
+    callbacks.on_snapshot = [this](auto records, daemon::SnapshotKind) {
       m_values.clear();
       Store(records);
     };
--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -2,6 +2,7 @@
 #define JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_EMULATOR_H_
 
 #include <asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -58,17 +59,25 @@
   /// readable.
   void Compact(const std::string& topic);
 
-  /// Makes the store come back from an older copy in which a topic without keys
-  /// ends at the offset `end`: drops the later records and raises the epoch,
-  /// which each response names. All other topics stay as they are.
+  /// Makes the store come back from an older copy in which a topic ends at the
+  /// offset `end`: drops the later records and raises the epoch, which each
+  /// response names. Reads that wait for a record are rejected. All other
+  /// topics stay as they are.
   void RestoreOlderCopy(const std::string& topic, std::uint64_t end);
 
+  /// Makes the reads that wait for a record wait for ever, as on connections
+  /// that have gone silent.
+  void SilencePendingReads();
+
   /// @return the offset after the newest record of a topic
   std::uint64_t End(const std::string& topic) const;
 
   /// @return how often records of a topic were read from an offset on
   std::uint64_t ReadCount(const std::string& topic) const;
 
+  /// @return the number of reads that wait for a record
+  std::size_t PendingReadCount() const { return m_pending_reads.size(); }
+
   /// While the store is down, each call gets status 503.
   void SetDown(bool down) { m_down = down; }
 
@@ -104,6 +113,8 @@
   void ReadNewest(const net::HttpRequest& request, net::ResponseWriter& writer);
   void Append(const net::HttpRequest& request, net::ResponseWriter& writer);
   void AddRecord(const std::string& topic, const std::string& content);
+  static void UpdateNewest(Topic& topic, std::uint64_t offset);
+  void RejectPendingReads();
   void SendPage(net::ResponseWriter& writer,
                 const Topic& topic,
                 std::uint64_t from) const;
@@ -113,6 +124,7 @@
   std::unique_ptr<net::HttpServer> m_server;
   std::map<std::string, Topic> m_topics;
   std::vector<std::shared_ptr<PendingRead>> m_pending_reads;
+  std::vector<std::shared_ptr<PendingRead>> m_silent_reads;
   std::uint64_t m_calls = 0;
   std::uint64_t m_epoch = 1;
   bool m_down = false;
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -99,21 +99,30 @@
 void PlatformEmulator::AddRecord(const std::string& topic,
                                  const std::string& content) {
   Topic& target = m_topics[topic];
-  if (IsKeyed(topic) && !content.empty()) {
-    const std::size_t length = static_cast<unsigned char>(content[0]);
-    const std::string key = content.substr(1, length);
-    if (content.size() < 1 + length) {
-      // Without a complete key it replaces no record.
-    } else if (content.size() > 1 + length) {
-      target.newest[key] = {target.End(), content.substr(1 + length)};
-    } else {
-      target.newest.erase(key);
-    }
-  }
   target.records.push_back(content);
+  if (IsKeyed(topic)) {
+    UpdateNewest(target, target.End() - 1);
+  }
   CompletePendingReads(topic);
 }
 
+/// Replaces the newest record of a key by the record at an offset.
+void PlatformEmulator::UpdateNewest(Topic& topic, std::uint64_t offset) {
+  const std::string& content = topic.records.at(offset - topic.first);
+  if (content.empty()) {
+    return;
+  }
+  const std::size_t length = static_cast<unsigned char>(content[0]);
+  const std::string key = content.substr(1, length);
+  if (content.size() < 1 + length) {
+    // Without a complete key it replaces no record.
+  } else if (content.size() > 1 + length) {
+    topic.newest[key] = {offset, content.substr(1 + length)};
+  } else {
+    topic.newest.erase(key);
+  }
+}
+
 void PlatformEmulator::Compact(const std::string& topic) {
   Topic& target = m_topics[topic];
   target.first = target.End();
@@ -140,11 +149,31 @@
 
 void PlatformEmulator::RestoreOlderCopy(const std::string& topic,
                                         std::uint64_t end) {
-  Topic& target = m_topics[topic];
+  RejectPendingReads();
   ++m_epoch;
+  Topic& target = m_topics[topic];
   target.records.resize(std::min<std::size_t>(
       target.records.size(), end - std::min(end, target.first)));
-  CompletePendingReads(topic);
+  target.newest.clear();
+  for (std::size_t i = 0; IsKeyed(topic) && i < target.records.size(); ++i) {
+    UpdateNewest(target, target.first + i);
+  }
+}
+
+void PlatformEmulator::SilencePendingReads() {
+  for (const auto& reader : m_pending_reads) {
+    reader->timer->cancel();
+    m_silent_reads.push_back(reader);
+  }
+  m_pending_reads.clear();
+}
+
+/// Ends the reads that wait for a record, as a store that goes away does.
+void PlatformEmulator::RejectPendingReads() {
+  for (const auto& reader : std::exchange(m_pending_reads, {})) {
+    reader->timer->cancel();
+    Send(*reader->writer, 503, "");
+  }
 }
 
 std::uint64_t PlatformEmulator::End(const std::string& topic) const {
