Do not take a proof that was counted on an earlier boot's clock

Cause: peers echo the time of the newest message that they had of a daemon, and the daemon counts the age of their proof from it on its own clock. After a loss of power that clock begins anew, and for some seconds peers still echo times of the earlier boot, which may lie in the future: such a proof counted as recent for as long as that boot had lasted.

An echo names the incarnation whose clock it is of, and only that one uses it; a proof of the future is ignored. PeerGossip.AnEchoOfAnEarlierProcess- ProvesNothing and ForwardingStep.IgnoresProofsOfTheFuture test this.

The test of the bound on reported failures found its field by its distance from the end of the message, which two new fields moved; it names its index.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -47,6 +47,9 @@
   /// `sent_ms` of the newest message that the sender received from the
   /// receiver.
   std::uint64_t echo_ms = 0;
+  /// Incarnation of the receiver that sent this message; its clock may have
+  /// begun anew since. 0 from daemons of earlier releases.
+  std::uint64_t echo_incarnation = 0;
   /// Position at which the operator records known to the sender end. Daemons of
   /// earlier releases send no epoch.
   LogPosition operator_end;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -33,6 +33,7 @@
 constexpr std::size_t kUpstreamFailuresIndex = 18;
 constexpr std::size_t kStreamOriginsIndex = 19;
 constexpr std::size_t kOperatorEpochIndex = 20;
+constexpr std::size_t kEchoIncarnationIndex = 21;
 
 /// A crash report without prompt parts has this number of elements; later
 /// daemons append the parts, which earlier ones ignore.
@@ -237,7 +238,8 @@
        std::move(encoded_verdicts),
        std::move(encoded_failures),
        EncodeStreamOrigins(stream_origins),
-       operator_end.epoch});
+       operator_end.epoch,
+       echo_incarnation});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -300,6 +302,10 @@
       decoded.operator_end.epoch =
           ReadInteger<std::uint32_t>(message.at(kOperatorEpochIndex));
     }
+    if (message.size() > kEchoIncarnationIndex) {
+      decoded.echo_incarnation =
+          ReadInteger<std::uint64_t>(message.at(kEchoIncarnationIndex));
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -106,6 +106,7 @@
   message.sent_ms = 7;
   message.echo_ms = 8;
   message.operator_end = {30, 9};
+  message.echo_incarnation = 31;
   message.freshness_proof_age_ms = 10;
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
@@ -127,6 +128,7 @@
   UNSIGNED_LONGS_EQUAL(7, decoded.sent_ms);
   UNSIGNED_LONGS_EQUAL(8, decoded.echo_ms);
   CHECK((LogPosition{30, 9}) == decoded.operator_end);
+  UNSIGNED_LONGS_EQUAL(31, decoded.echo_incarnation);
   UNSIGNED_LONGS_EQUAL(10, *decoded.freshness_proof_age_ms);
   UNSIGNED_LONGS_EQUAL(13, decoded.loads.at(0).tokens);
   UNSIGNED_LONGS_EQUAL(14, decoded.weights_updates.at(0).version);
@@ -152,6 +154,9 @@
     nlohmann::json::to_msgpack(encoded, bytes);
     return GossipMessage::Decode(bytes);
   };
+  const auto without_incarnation = decode_without_last();
+  UNSIGNED_LONGS_EQUAL(0, without_incarnation.echo_incarnation);
+  CHECK(without_incarnation.operator_end == message.operator_end);
   const auto without_epoch = decode_without_last();
   UNSIGNED_LONGS_EQUAL(0, without_epoch.operator_end.epoch);
   CHECK(without_epoch.stream_origins == message.stream_origins);
@@ -173,7 +178,8 @@
 TEST(ForwarderCodec, FailuresOfUpstreamsAreBounded) {
   GossipMessage message = CompleteMessage();
   auto encoded = nlohmann::json::from_msgpack(message.Encode());
-  nlohmann::json& failures = encoded.at(encoded.size() - 2);
+  constexpr std::size_t kFailures = 18;
+  nlohmann::json& failures = encoded.at(kFailures);
   nlohmann::json later = failures.front();
   later[2] = 9;
   failures.insert(failures.begin(), later);
@@ -222,7 +228,7 @@
        {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
         nlohmann::json("1")}) {
     const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(31, variants.size());
+    UNSIGNED_LONGS_EQUAL(32, variants.size());
     for (const nlohmann::json& variant : variants) {
       std::string encoded;
       nlohmann::json::to_msgpack(variant, encoded);
--- a/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/configuration_lag.h
@@ -30,6 +30,10 @@
     }
   }
 
+  /// @return the newest position that a peer announced and this daemon has not
+  /// confirmed since
+  LogPosition AnnouncedEnd() const { return m_announced_end; }
+
   /// This daemon has read all records up to this position, and there were no
   /// more at this time.
   void OnConfirmed(LogPosition end, MonotonicTime confirmed_at) {
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -42,6 +42,10 @@
 
   void Apply(const ConfigurationRead& event);
   void Apply(const ConfigurationConfirmed& event) {
+    // A proof of the future, as after a change of the clock, proves nothing.
+    if (event.sent_at > m_now) {
+      return;
+    }
     if (!m_state.confirmed_at || event.sent_at > *m_state.confirmed_at) {
       m_state.confirmed_at = event.sent_at;
     }
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -55,6 +55,16 @@
   CHECK(*fixture.CurrentState().confirmed_at == before);
 }
 
+// Guards against a proof of the future, which would count as recent until its
+// time has passed: revoked keys would be accepted meanwhile.
+TEST(ForwardingStep, IgnoresProofsOfTheFuture) {
+  ForwardingFixture fixture;
+  fixture.Apply(ConfigurationConfirmed{fixture.Now() + 1h});
+  fixture.Wait(fixture.CurrentState().options.max_proof_age + 1ms);
+  CHECK(Is(RefusalCode::kConfigurationStale,
+           OnlyRefusal(fixture.Send("/once/"))));
+}
+
 // Guards against 404 and 401 responses based on an outdated configuration.
 TEST(ForwardingStep, RefusesOnlyWithACurrentConfiguration) {
   ForwardingFixture fixture;
--- a/packages/daemon/src/forwarder/freshness_proof_renewal.cc
+++ b/packages/daemon/src/forwarder/freshness_proof_renewal.cc
@@ -68,7 +68,7 @@
       },
       [this](const PeerGossip::FreshnessProof& proof) {
         const auto end = m_configuration.End();
-        if (end && proof.end == *end) {
+        if (end && proof.end == *end && proof.confirmed_at <= m_clock.Now()) {
           m_host.Apply(forwarding::ConfigurationConfirmed{proof.confirmed_at,
                                                           proof.end});
           m_configuration.OnPeerProof(proof.confirmed_at);
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -332,7 +332,8 @@
     m_host.Apply(forwarding::OperatorRecordsAnnounced{message.operator_end});
   }
   if (m_on_peer_proof && message.freshness_proof_age_ms &&
-      message.echo_ms > 0) {
+      message.echo_ms > 0 &&
+      message.echo_incarnation == m_options.incarnation) {
     // The proof had this age when the peer sent the message. `echo_ms` is a
     // lower bound of that time on this daemon's clock: at `echo_ms`, this
     // daemon sent the newest message that the peer had received. So the proof
@@ -543,6 +544,7 @@
     const bool is_new = now - peer->incarnation_seen_at <= kNewPeerTime;
     message.publications = is_new ? all : young;
     message.echo_ms = peer->last_sent_ms;
+    message.echo_incarnation = peer->incarnation;
     const std::string bytes = message.Encode();
     asio::error_code ignored;
     m_socket.send_to(asio::buffer(bytes), peer->endpoint, 0, ignored);
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <array>
+#include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -377,3 +379,38 @@
       forwarding::ConfigurationConfirmed{fixture.clock.Now(), {1, 8}});
   CHECK(!is_behind());
 }
+
+// Guards against a proof whose time was counted on the clock of an earlier
+// boot: a daemon that lost power takes it for one of the future or of the past.
+TEST(PeerGossip, AnEchoOfAnEarlierProcessProvesNothing) {
+  GossipFixture fixture;
+  const std::string address = fixture.loopback.NewUdpAddress(fixture.loop);
+  Node node(fixture, "right", address, 6);
+  std::size_t proofs = 0;
+  node.gossip.ShareFreshnessProofs([] { return std::nullopt; },
+                                   [&](const auto& /*proof*/) { ++proofs; });
+  asio::ip::udp::socket peer(fixture.loop, asio::ip::udp::v4());
+  codec::GossipMessage message;
+  message.daemon = "left";
+  message.address = fixture.loopback.NewUdpAddress(fixture.loop);
+  message.zone = "a";
+  message.incarnation = 5;
+  message.freshness_proof_age_ms = 0;
+  message.echo_ms = 1;
+  const auto parsed = net::ParseIpPort(address);
+  const auto send = [&](std::uint64_t echo_incarnation, std::uint64_t end) {
+    ++message.sequence;
+    message.echo_incarnation = echo_incarnation;
+    message.operator_end = {1, end};
+    peer.send_to(asio::buffer(message.Encode()),
+                 {asio::ip::make_address(parsed->ip), parsed->port});
+    CHECK(fixture.RunUntil([&] {
+      const auto& lag = node.host.State().lag;
+      return lag.AnnouncedEnd() == message.operator_end;
+    }));
+  };
+  send(5, 7);
+  UNSIGNED_LONGS_EQUAL(0, proofs);
+  send(6, 8);
+  UNSIGNED_LONGS_EQUAL(1, proofs);
+}
