Forward requests to other daemons while no upstream can be reached

Cause: a daemon could serve a request over its own links only. Its evidence that upstreams are unreachable was kept for each zone but its own, a refused connection counted as contact, and so did a response on a connection opened before. It also reported sound upstreams as unreachable to the others.

A daemon that could open no new connection in any zone now forwards requests to a daemon that can, over TCP at the address of the gossip; the own zone goes first. Only a response on a new connection ends the cut, and a request now and then tries for one. A request is forwarded once; a refusal carries its verdict, and after anything else it is not sent again. Meanwhile no failures are reported.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -71,6 +71,10 @@
   /// Consecutive ones of one service and version are encoded together.
   std::vector<forwarding::StreamOrigin> stream_origins;
 
+  /// `ip:port` at which the sender accepts forwarded requests; empty if it does
+  /// not, or if it cannot reach any upstream.
+  std::string forwarding_address;
+
   /// @return the message as MessagePack
   std::string Encode() const;
 
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -34,6 +34,7 @@
 constexpr std::size_t kStreamOriginsIndex = 19;
 constexpr std::size_t kOperatorEpochIndex = 20;
 constexpr std::size_t kEchoIncarnationIndex = 21;
+constexpr std::size_t kForwardingAddressIndex = 22;
 
 /// A crash report without prompt parts has this number of elements; later
 /// daemons append the parts, which earlier ones ignore.
@@ -239,7 +240,8 @@
        std::move(encoded_failures),
        EncodeStreamOrigins(stream_origins),
        operator_end.epoch,
-       echo_incarnation});
+       echo_incarnation,
+       forwarding_address});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -306,6 +308,10 @@
       decoded.echo_incarnation =
           ReadInteger<std::uint64_t>(message.at(kEchoIncarnationIndex));
     }
+    if (message.size() > kForwardingAddressIndex) {
+      decoded.forwarding_address =
+          message.at(kForwardingAddressIndex).get<std::string>();
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -107,6 +107,7 @@
   message.echo_ms = 8;
   message.operator_end = {30, 9};
   message.echo_incarnation = 31;
+  message.forwarding_address = "10.0.0.1:7701";
   message.freshness_proof_age_ms = 10;
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
@@ -129,6 +130,7 @@
   UNSIGNED_LONGS_EQUAL(8, decoded.echo_ms);
   CHECK((LogPosition{30, 9}) == decoded.operator_end);
   UNSIGNED_LONGS_EQUAL(31, decoded.echo_incarnation);
+  STRCMP_EQUAL("10.0.0.1:7701", decoded.forwarding_address.c_str());
   UNSIGNED_LONGS_EQUAL(10, *decoded.freshness_proof_age_ms);
   UNSIGNED_LONGS_EQUAL(13, decoded.loads.at(0).tokens);
   UNSIGNED_LONGS_EQUAL(14, decoded.weights_updates.at(0).version);
@@ -154,6 +156,9 @@
     nlohmann::json::to_msgpack(encoded, bytes);
     return GossipMessage::Decode(bytes);
   };
+  const auto without_forwarding = decode_without_last();
+  CHECK(without_forwarding.forwarding_address.empty());
+  CHECK(without_forwarding.operator_end == message.operator_end);
   const auto without_incarnation = decode_without_last();
   UNSIGNED_LONGS_EQUAL(0, without_incarnation.echo_incarnation);
   CHECK(without_incarnation.operator_end == message.operator_end);
--- a/packages/core/include/jasminehatch/detail/base/counter.h
+++ b/packages/core/include/jasminehatch/detail/base/counter.h
@@ -79,6 +79,14 @@
   kUpstreamReportedUnreachable,
   kZoneUnreachable,
   kZoneReachable,
+  /// Times at which no new connection to any upstream could be opened, and at
+  /// which one could be opened again.
+  kUpstreamsUnreachable,
+  kUpstreamsReachable,
+  /// Requests that were forwarded to another daemon, and that another daemon
+  /// forwarded to this one.
+  kForwardedToPeer,
+  kForwardedByPeer,
   /// Times at which the platform's store came back from an older copy.
   kStoreRestored,
   kCount,
--- a/packages/core/include/jasminehatch/detail/forwarding/effect.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/effect.h
@@ -47,6 +47,10 @@
   RouteKind route_kind = RouteKind::kNonIdempotent;
   std::optional<CachePlan> cache_plan;
   std::string resume_after;
+  /// Open a connection: an idle one may outlive the link for new ones.
+  bool fresh_connection = false;
+  /// Forward the request to another daemon, named by `upstream`.
+  bool to_peer = false;
 };
 
 /// Cancel an attempt and discard its response.
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -145,6 +145,7 @@
   /// this one resumes; empty if the caller did not say.
   std::string resumed_request;
   std::uint64_t fingerprint = 0;  ///< Hash of path, caller and body.
+  bool forwarded = false;         ///< Another daemon forwarded it to this one.
   std::uint64_t random = 0;
 };
 
@@ -160,6 +161,9 @@
   AttemptId attempt;
 };
 
+/// An upstream answered on a connection that was opened for the request.
+struct UpstreamConnected {};
+
 /// An upstream reported its load with a response.
 struct LoadObserved {
   std::string upstream;
@@ -251,6 +255,9 @@
   std::string daemon;
   std::string zone;
   bool stopping = false;  ///< It was asked to stop.
+  /// Where it accepts forwarded requests; empty if it does not, or if it cannot
+  /// reach any upstream.
+  std::string forwarding_address;
 };
 
 /// A crash report was received from another daemon.
@@ -302,6 +309,7 @@
                            RequestReceived,
                            CallerDisconnected,
                            ResponseStarted,
+                           UpstreamConnected,
                            LoadObserved,
                            WeightsObserved,
                            UpstreamLeaving,
--- a/packages/core/include/jasminehatch/detail/forwarding/failure_reports.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/failure_reports.h
@@ -32,6 +32,9 @@
 
   /// Adds a failure; replaces earlier reports that it supersedes.
   /// @param forwarded whether another daemon reported it
+  /// Drops all reports that are still to be sent.
+  void Clear() { m_pending.clear(); }
+
   void Add(const Upstream& upstream,
            UpstreamFailure failure,
            MonotonicTime observed_at,
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -25,6 +25,8 @@
     std::uint32_t saved_tokens = 0;    ///< Written to cache stores.
     std::uint64_t entry_number = 0;    ///< `Upstream::entry_number`.
     std::string software_version;      ///< Of the upstream.
+    bool at_peer =
+        false;  ///< `upstream` is a daemon to which it was forwarded.
   };
 
   RequestReceived arrival;
@@ -48,6 +50,10 @@
   std::uint32_t send_count = 0;
   std::uint32_t run_count = 0;  ///< Earlier attempts that may have run.
   bool response_started = false;
+  /// Its next attempt finds out whether upstreams can be reached again.
+  bool probes_upstreams = false;
+  /// Whether an earlier attempt may have reached an upstream.
+  bool may_have_arrived = false;
   std::string last_event;
   /// Software version that began the stream, once an event of it was sent;
   /// further attempts go to upstreams with this version only.
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -20,6 +20,7 @@
 #include "jasminehatch/detail/forwarding/event.h"
 #include "jasminehatch/detail/forwarding/failure_reports.h"
 #include "jasminehatch/detail/forwarding/fleet_load.h"
+#include "jasminehatch/detail/forwarding/forwarding_peers.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
 #include "jasminehatch/detail/forwarding/request.h"
@@ -29,6 +30,7 @@
 #include "jasminehatch/detail/forwarding/stream_origins.h"
 #include "jasminehatch/detail/forwarding/unreachable_zones.h"
 #include "jasminehatch/detail/forwarding/upstream_directory.h"
+#include "jasminehatch/detail/forwarding/upstream_reachability.h"
 #include "jasminehatch/detail/routing/fleet_members.h"
 #include "jasminehatch/detail/routing/warm_up_limiter.h"
 
@@ -62,6 +64,8 @@
   WarmUpLimiter warm_ups;
   FailureReports failure_reports;
   UnreachableZones unreachable_zones;
+  UpstreamReachability reachability;
+  ForwardingPeers peers;
 
   /// @return when the next `TimerFired` is due, if any
   std::optional<MonotonicTime> NextTimer() const {
--- a/packages/core/src/base/counter.cc
+++ b/packages/core/src/base/counter.cc
@@ -59,6 +59,10 @@
     "upstream_reported_unreachable",
     "zone_unreachable",
     "zone_reachable",
+    "upstreams_unreachable",
+    "upstreams_reachable",
+    "forwarded_to_peer",
+    "forwarded_by_peer",
     "store_restored",
 };
 static_assert(!kNames.back().empty(), "each counter needs a name");
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -108,6 +108,9 @@
     Refuse(request, std::move(*denial));
     return;
   }
+  if (ForwardToPeer(request)) {
+    return;
+  }
   const Placement placement = ChooseUpstream(m_state, request, m_now);
   if (auto denial = FindPlacementDenial(request, placement)) {
     Refuse(request, std::move(*denial));
@@ -257,6 +260,7 @@
     AddCacheTokens(*request.arrival.prompt, *start.cache_plan,
                    *request.attempt);
   }
+  start.fresh_connection = std::exchange(request.probes_upstreams, false);
   SetTimer(request);
   m_effects.emplace_back(std::move(start));
 }
@@ -385,7 +389,9 @@
   }
   request->response_started = true;
   request->attempt->response_started = true;
-  RecordOrigin(*request);
+  if (!request->attempt->at_peer) {
+    RecordOrigin(*request);
+  }
   request->attempt->timeout_at.reset();
   SetTimer(*request);
   RecordAnswer(*request);
@@ -401,7 +407,10 @@
   if (!request.attempt) {
     return;
   }
-  if (Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream)) {
+  if (request.attempt->at_peer) {
+    m_state.peers.OnAttemptEnded(request.attempt->upstream);
+  } else if (Upstream* upstream =
+                 m_state.upstreams.Find(request.attempt->upstream)) {
     upstream->OnAttemptEnded(request.expected_tokens);
     m_state.unreachable_zones.OnAttemptEnded(upstream->entry.zone,
                                              request.attempt->id);
@@ -424,6 +433,9 @@
 }
 
 void Reducer::RecordOutcome(const Request& request, const AttemptEnded& event) {
+  if (request.attempt->at_peer) {
+    return;
+  }
   Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream);
   if (upstream == nullptr) {
     return;
@@ -461,6 +473,7 @@
       }
       PresumeCold(*upstream);
       upstream->RecordFailure(/*unreachable=*/true, m_now, m_state.options);
+      RecordUnreachable(*upstream);
       RecordConnectFailure(*upstream, event.connect_failure);
       return;
     case AttemptOutcome::kWrongUpstream:
@@ -493,9 +506,12 @@
   }
   RecordOutcome(*request, event);
   const bool answered = request->attempt->response_started;
+  const bool at_peer = request->attempt->at_peer;
   if (!event.last_event.empty()) {
     request->last_event = event.last_event;
   }
+  request->may_have_arrived =
+      request->may_have_arrived || event.outcome != AttemptOutcome::kNotSent;
   EndAttempt(*request);
   switch (event.outcome) {
     case AttemptOutcome::kCompleted:
@@ -512,7 +528,9 @@
     case AttemptOutcome::kBroken:
     case AttemptOutcome::kInvalidResponse:
     case AttemptOutcome::kTimedOut:
-      ++request->run_count;
+      // The peer has used the attempts that the route allows.
+      request->run_count =
+          at_peer ? request->route->attempts : request->run_count + 1;
       HandleFailure(*request, event, answered);
       return;
   }
@@ -572,6 +590,17 @@
       m_state.part_suspects.RefusalTimeLeft(request.shared_parts, m_now)) {
     return false;
   }
+  if (const std::string* peer = ChoosePeer(request)) {
+    // The first arrival at an upstream is no retry.
+    const bool is_retry = request.may_have_arrived;
+    if (is_retry &&
+        !m_state.retries.TrySpend(request.service, m_now, m_state.options)) {
+      return false;
+    }
+    m_effects.emplace_back(CountEvent{reason});
+    StartAtPeer(request, *peer);
+    return true;
+  }
   const Placement placement = ChooseUpstream(m_state, request, m_now);
   if (placement.upstream == nullptr ||
       !m_state.retries.TrySpend(request.service, m_now, m_state.options)) {
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -85,6 +85,7 @@
   void Apply(const RequestReceived& event);
   void Apply(const CallerDisconnected& event);
   void Apply(const ResponseStarted& event);
+  void Apply(const UpstreamConnected& event);
   void Apply(const LoadObserved& event);
   void Apply(const WeightsObserved& event) {
     m_state.upstreams.OnWeightsObserved(event);
@@ -119,6 +120,9 @@
   }
   void Apply(const PeerHeard& event) {
     m_state.members.OnHeard(event.daemon, event.zone, event.stopping, m_now);
+    m_state.peers.OnHeard(
+        event.daemon, event.zone,
+        event.stopping ? std::string() : event.forwarding_address, m_now);
   }
   void Apply(const CrashReportReceived& event) { RecordCrash(event.report); }
   void Apply(const PartVerdictReceived& event) {
@@ -260,6 +264,18 @@
                           Duration age,
                           const std::string& reporter);
   void RecordConnectFailure(Upstream& upstream, ConnectFailure failure);
+  /// @return the zones of all upstreams that can be used
+  std::vector<std::string> ZonesWithUpstreams() const;
+  /// Records that no connection to an upstream could be opened.
+  void RecordUnreachable(const Upstream& upstream);
+  /// @return the name of the daemon to forward the request to, if this one
+  /// reaches no upstream and another one does; otherwise null
+  const std::string* ChoosePeer(const Request& request) const;
+  /// Forwards the request to another daemon if this one reaches no upstream,
+  /// and it need not find out whether it does again.
+  /// @return whether it was forwarded
+  bool ForwardToPeer(Request& request);
+  void StartAtPeer(Request& request, const std::string& peer);
   /// Records that nothing answered a connect to an upstream.
   void RecordConnectTimeout(const Upstream& upstream);
   /// Records that something was received from an upstream of the zone.
--- a/packages/core/src/forwarding/upstream_failures.cc
+++ b/packages/core/src/forwarding/upstream_failures.cc
@@ -8,7 +8,9 @@
 
 void Reducer::RecordUpstreamFailure(Upstream& upstream,
                                     UpstreamFailure failure) {
-  if (upstream.failures.OnOwnFailure(failure, m_now)) {
+  // While no upstream can be reached, failures tell of this daemon's link.
+  if (upstream.failures.OnOwnFailure(failure, m_now) &&
+      !m_state.reachability.IsCut()) {
     m_state.failure_reports.Add(upstream, failure, m_now, /*forwarded=*/false,
                                 m_now);
     if (failure == UpstreamFailure::kReplaced) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -59,7 +59,12 @@
   void Apply(const forwarding::Event& event);
 
   /// Handles a caller's request.
-  void OnRequest(const std::shared_ptr<net::ServerExchange>& exchange);
+  void OnRequest(const std::shared_ptr<net::ServerExchange>& exchange) {
+    Receive(exchange, /*forwarded=*/false);
+  }
+
+  /// Handles a request that another daemon forwarded to this one.
+  void OnForwardedRequest(const std::shared_ptr<net::ServerExchange>& exchange);
 
   /// Sets the callback for crash reports that are sent to other daemons.
   void SetCrashReportCallback(
@@ -90,7 +95,9 @@
     std::string caller_id;  ///< The caller's own id of the request.
     std::string model;
     AttemptId attempt;
-    std::string upstream;
+    std::string upstream;    ///< Upstream of the attempt, or another daemon.
+    bool at_peer = false;    ///< The attempt was forwarded to another daemon.
+    bool forwarded = false;  ///< Another daemon forwarded it to this one.
     std::uint64_t upstream_started_at = 0;
     forwarding::RouteKind route_kind = forwarding::RouteKind::kNonIdempotent;
     std::uint64_t call_id = 0;
@@ -125,6 +132,10 @@
   void Execute(const forwarding::LogDecision& effect);
   void Execute(const CountEvent& effect);
 
+  void Receive(const std::shared_ptr<net::ServerExchange>& exchange,
+               bool forwarded);
+  /// Applies what the head of an upstream's response says of the upstream.
+  void ApplyNotices(const ActiveRequest& active);
   void RefuseMalformed(net::ServerExchange& exchange, std::string_view cause);
   void OnHead(RequestId id, AttemptId attempt, net::StreamHead head);
   void OnData(RequestId id, AttemptId attempt, std::string_view data);
@@ -137,6 +148,8 @@
   void ForwardEvent(RequestId id,
                     ActiveRequest& active,
                     const codec::EventSplitter::Event& event);
+  static forwarding::AttemptOutcome ClassifyPeerResponse(
+      const ActiveRequest& active);
   forwarding::AttemptOutcome ClassifyOutcome(const ActiveRequest& active,
                                              const net::StreamEnd& end) const;
   void EndAttempt(RequestId id,
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -58,6 +58,9 @@
     /// `ip:port` that other daemons send to; empty for `address`.
     std::string advertised_address;
     double capacity = 1;  ///< Relative processing capacity of this VM.
+    /// `ip:port` at which this daemon accepts forwarded requests; empty if it
+    /// does not.
+    std::string forwarding_address = {};
   };
 
   /// Handles a datagram that is no gossip message. Its first byte tells its
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -30,6 +30,7 @@
 #include "jasminehatch/platform.h"
 #include "jasminehatch/telemetry.h"
 #include "operator_records.h"
+#include "peer_listener.h"
 #include "probe_listeners.h"
 #include "software_history_reader.h"
 #include "upstream_records.h"
@@ -230,6 +231,7 @@
   CacheStoreFollowers m_cache_stores;
   std::unique_ptr<ZoneRelay> m_relay;  ///< Null without a peer address.
   std::unique_ptr<CallerListener> m_callers;
+  std::unique_ptr<PeerListener> m_peer_requests;  ///< Null without peers.
   std::unique_ptr<ProbeListeners> m_probes;
   asio::steady_timer m_stop_timer;
   asio::steady_timer m_log_timer;
@@ -247,7 +249,9 @@
   m_probes = std::make_unique<ProbeListeners>(
       m_loop, m_settings, m_host, [this] { return IsReady(); },
       [this] {
-        m_metrics.SetCallerMemory(m_callers->MemoryBytes());
+        m_metrics.SetCallerMemory(
+            m_callers->MemoryBytes() +
+            (m_peer_requests ? m_peer_requests->MemoryBytes() : 0));
         return m_metrics.Render();
       });
 }
@@ -328,6 +332,9 @@
   UpdateCacheStoreFollowers();
   if (const auto& table = m_host.State().table) {
     m_callers->SetLimits(table->SourceConfiguration().limits);
+    if (m_peer_requests) {
+      m_peer_requests->SetLimits(table->SourceConfiguration().limits);
+    }
   }
 }
 
@@ -335,12 +342,14 @@
   if (m_settings.peer_address.empty()) {
     return;
   }
+  m_peer_requests =
+      std::make_unique<PeerListener>(m_loop, m_settings, m_host, m_log);
   m_gossip = std::make_unique<PeerGossip>(
       m_loop, m_clock, m_store, m_host, m_log,
       PeerGossip::Options{m_settings.name, m_settings.zone,
                           m_settings.peer_address, incarnation,
                           m_settings.advertised_peer_address,
-                          m_settings.capacity});
+                          m_settings.capacity, m_peer_requests->Address()});
   m_gossip->Start();
   m_relay = std::make_unique<ZoneRelay>(
       m_loop, m_clock, *m_gossip, m_log, m_metrics,
@@ -388,9 +397,14 @@
   if (now - m_stop_requested_at >= kBalancerDetectionTime &&
       std::exchange(m_accepting, false)) {
     m_callers->StopAccepting();
+    if (m_peer_requests) {
+      m_peer_requests->StopAccepting();
+    }
   }
-  const bool idle = !m_accepting && m_callers->BusyConnections() == 0 &&
-                    !m_rollout.IsReleasing();
+  const std::size_t busy =
+      m_callers->BusyConnections() +
+      (m_peer_requests ? m_peer_requests->BusyConnections() : 0);
+  const bool idle = !m_accepting && busy == 0 && !m_rollout.IsReleasing();
   if (idle || now >= m_exit_at) {
     if (m_gossip) {
       m_gossip->Stop();
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -148,8 +148,15 @@
                 MakeRefusalBody(kCode, Verdict::kNotRun, "", cause));
 }
 
-void ForwardingHost::OnRequest(
+void ForwardingHost::OnForwardedRequest(
     const std::shared_ptr<net::ServerExchange>& exchange) {
+  m_metrics.Count(Counter::kForwardedByPeer);
+  Receive(exchange, /*forwarded=*/true);
+}
+
+void ForwardingHost::Receive(
+    const std::shared_ptr<net::ServerExchange>& exchange,
+    bool forwarded) {
   m_metrics.CountRequest();
   const RequestId id{m_next_request_id++};
   forwarding::RequestReceived received;
@@ -160,7 +167,9 @@
     RefuseMalformed(*exchange, error.what());
     return;
   }
+  received.forwarded = forwarded;
   ActiveRequest active;
+  active.forwarded = forwarded;
   active.caller_id = received.caller_id;
   active.model = received.prompt ? received.prompt->model : "";
   active.last_event_id = received.resume_after;
@@ -193,6 +202,7 @@
   ActiveRequest& active = found->second;
   active.attempt = effect.attempt;
   active.upstream = effect.upstream;
+  active.at_peer = effect.to_peer;
   active.upstream_started_at = effect.started_at;
   active.route_kind = effect.route_kind;
   active.head = {};
@@ -202,13 +212,18 @@
   active.splitter.Clear();
   active.streaming = false;
   active.event_received = false;
-  auto call = platform::EncodeAttempt(
-      {active.exchange, &active.exchange->Request()}, effect, m_clock.Now());
+  const std::shared_ptr<const net::HttpRequest> request(
+      active.exchange, &active.exchange->Request());
+  auto call =
+      effect.to_peer
+          ? platform::EncodeForwardedRequest(request, effect, m_clock.Now())
+          : platform::EncodeAttempt(request, effect, m_clock.Now());
   // An upstream may write a refusal once more on a kept connection. The id does
   // not tell it from the response to the same request, sent there again.
   call.fresh_connection =
+      call.fresh_connection ||
       std::find(active.sent_to.begin(), active.sent_to.end(), effect.address) !=
-      active.sent_to.end();
+          active.sent_to.end();
   active.sent_to.push_back(effect.address);
   const RequestId id = effect.request;
   const AttemptId attempt = effect.attempt;
@@ -234,6 +249,9 @@
   }
   active->metadata = platform::DecodeResponseHead(head);
   active->head = std::move(head);
+  if (active->head.on_new_connection && !active->at_peer) {
+    Apply(forwarding::UpstreamConnected{});
+  }
   if (active->metadata.request_id != active->caller_id) {
     m_client.Cancel(active->call_id);
     EndAttempt(id, AttemptOutcome::kInvalidResponse,
@@ -244,18 +262,25 @@
   active->streaming = success && active->metadata.is_signed_and_unencoded &&
                       active->metadata.is_stream &&
                       active->route_kind == forwarding::RouteKind::kStreaming;
-  const std::string upstream = active->upstream;
-  const std::string model = active->model;
-  const auto weights = active->metadata.weight_version;
-  // A response to another request, which a faulty upstream may repeat later, is
-  // no evidence; it was rejected above.
-  const auto leaving = platform::DecodeLeaving(active->head.headers, upstream,
-                                               active->upstream_started_at);
+  if (!active->at_peer) {
+    // A response to another request, which a faulty upstream may repeat later,
+    // is no evidence; it was rejected above.
+    ApplyNotices(*active);
+  }
+}
+
+void ForwardingHost::ApplyNotices(const ActiveRequest& active) {
+  // The request may end while a notice is applied.
+  const std::string upstream = active.upstream;
+  const std::string model = active.model;
+  const auto weights = active.metadata.weight_version;
+  const auto leaving = platform::DecodeLeaving(active.head.headers, upstream,
+                                               active.upstream_started_at);
   const auto pause =
-      platform::DecodePause(active->head.status, active->head.headers, upstream,
-                            active->upstream_started_at);
-  if (active->metadata.load) {
-    auto load = *active->metadata.load;
+      platform::DecodePause(active.head.status, active.head.headers, upstream,
+                            active.upstream_started_at);
+  if (active.metadata.load) {
+    auto load = *active.metadata.load;
     load.upstream = upstream;
     Apply(load);
   }
@@ -371,6 +396,22 @@
   }
 }
 
+/// @return the outcome of a complete response of another daemon
+AttemptOutcome ForwardingHost::ClassifyPeerResponse(
+    const ActiveRequest& active) {
+  const platform::UpstreamResponseHead& metadata = active.metadata;
+  if (metadata.peer_verdict == ToString(Verdict::kNotRun)) {
+    return AttemptOutcome::kNotRun;
+  }
+  const bool truncated = active.splitter.PendingBytes() > 0;
+  const bool is_success = active.head.status / 100 == 2;
+  const bool is_sound = is_success
+                            ? metadata.is_signed_and_unencoded && !truncated
+                            : !active.head_sent;
+  return is_sound ? AttemptOutcome::kCompleted
+                  : AttemptOutcome::kInvalidResponse;
+}
+
 AttemptOutcome ForwardingHost::ClassifyOutcome(
     const ActiveRequest& active,
     const net::StreamEnd& end) const {
@@ -387,6 +428,9 @@
     case Kind::kComplete:
       break;
   }
+  if (active.at_peer) {
+    return ClassifyPeerResponse(active);
+  }
   const int status = active.head.status;
   const platform::UpstreamResponseHead& metadata = active.metadata;
   constexpr int kMisdirectedRequest = 421;
@@ -519,11 +563,14 @@
     active.exchange->Abort();
     return;
   }
-  active.exchange->Send(
-      info.http_status,
-      platform::BuildRefusalHeaders(active.exchange->Request(), effect),
-      MakeRefusalBody(effect.code, effect.verdict, active.caller_id,
-                      effect.detail));
+  net::HttpHeaders headers =
+      platform::BuildRefusalHeaders(active.exchange->Request(), effect);
+  if (active.forwarded) {
+    platform::AddPeerVerdict(effect.verdict, headers);
+  }
+  active.exchange->Send(info.http_status, headers,
+                        MakeRefusalBody(effect.code, effect.verdict,
+                                        active.caller_id, effect.detail));
 }
 
 void ForwardingHost::Execute(const forwarding::ShareCrashReport& effect) {
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -343,8 +343,9 @@
                     milliseconds(*message.freshness_proof_age_ms);
     m_on_peer_proof({message.operator_end, at});
   }
-  m_host.Apply(
-      forwarding::PeerHeard{message.daemon, message.zone, message.stopping});
+  m_host.Apply(forwarding::PeerHeard{message.daemon, message.zone,
+                                     message.stopping,
+                                     message.forwarding_address});
   m_host.Apply(forwarding::PeerLoadReceived{
       message.daemon, std::move(message.loads),
       message.covers_zone ? message.zone : std::string()});
@@ -500,6 +501,9 @@
   message.incarnation = m_options.incarnation;
   message.capacity = m_options.capacity;
   message.stopping = m_stop_announced;
+  if (!m_host.State().reachability.IsCut()) {
+    message.forwarding_address = m_options.forwarding_address;
+  }
   for (const auto& [id, upstream] : m_host.State().upstreams.All()) {
     if (upstream->in_flight > 0) {
       message.loads.push_back({forwarding::FleetLoad::CompactId(id),
--- a/packages/net/include/jasminehatch/detail/stream/stream_client.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_client.h
@@ -36,6 +36,7 @@
 struct StreamHead {
   int status = 0;
   HttpHeaders headers;
+  bool on_new_connection = false;  ///< It was opened for the call.
 };
 
 /// @brief How a call of StreamClient ended.
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -118,6 +118,7 @@
     /// How long it was idle before the current call; zero for a new connection.
     std::chrono::steady_clock::duration idle_time{};
     bool reading = false;
+    bool was_idle = false;  ///< It had a call before the current one.
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -220,6 +221,7 @@
     if (connection->socket.is_open() && connection->idle_until > now &&
         IsIdleShortEnough(*connection, now)) {
       connection->idle_time = now - connection->idle_since;
+      connection->was_idle = true;
       return connection;
     }
     Close(connection);
@@ -412,8 +414,9 @@
   const CallPtr call = Find(connection->call_id);
   call->head_received = true;
   if (call->callbacks.on_head) {
-    call->callbacks.on_head(
-        {connection->parser.Status(), connection->parser.Headers()});
+    call->callbacks.on_head({connection->parser.Status(),
+                             connection->parser.Headers(),
+                             !connection->was_idle});
   }
 }
 
