Resume streams of unknown origin only in step with the others

Callers saw streams that had begun at workers of a new software version go on at workers of another one, at a daemon that stood still or was cut off from the others while the new ones joined.

Cause: a daemon that knows one software version of a service takes a stream of unknown origin for one of that version. That it knows of no other one was taken for a proof, however old its knowledge of the registry was, and whether or not it heard the messages by which its peers tell of streams.

Fix: one version is a proof only if the registry was known at most 0.8 of drain_limit ago, or if most zones were heard without a second of silence since it was known. For the first half, no daemon begins resumable streams with a version that joined a service until it has known of it for as long: a stream that begins with it is then later than what a daemon within the bound has read. For the second half, the peers have told of such streams. Otherwise the request is refused at once (no_upstream, not_run, refused_unknown_origin), and may be repeated at another daemon. The same holds until a registry that came back from an older copy has been listed in full, and for 60 s if entries may have come and gone unread: a listing, or the removal of an unknown upstream, out of step.

Choice: in an ordinary outage of the store, streams go on at daemons that hear their peers (LOST), since a stream with another version would have been told of. A daemon that can neither read nor hear refuses. The price of the bound is that the first workers of a new version begin no resumable streams for 1.6 s after they were read of, unless no worker of another version can run the request, which is then preferred to a refusal. A version that a daemon finds at its own start is not delayed.

Tests: with the two checks of FindOrigin disabled, five of the new tests of StreamResumption fail (the streams are started); with the delay disabled, ANewVersionBeginsStreamsOnceAllKnowIt fails.

--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -84,6 +84,11 @@
   std::string version;
 };
 
+/// This daemon knows all records that the registry had at `known_at`.
+struct RegistryKnown {
+  MonotonicTime known_at{};
+};
+
 /// The registry can be read again after an outage.
 struct RegistryRecovered {};
 
@@ -294,6 +299,7 @@
                            UpstreamRemoved,
                            UpstreamsListed,
                            SoftwareVersionSeen,
+                           RegistryKnown,
                            RegistryRecovered,
                            WeightsPublished,
                            PublicationAgeReceived,
--- a/packages/core/include/jasminehatch/detail/forwarding/exclusion.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/exclusion.h
@@ -15,6 +15,7 @@
   kWeightsOutdated,  ///< Its weights are older than the required ones.
   kOtherSoftware,    ///< It has another software version than the stream.
   kPauseRequested,   ///< It asked for no requests for some time.
+  kNewSoftware,      ///< Its software version is too new to begin a stream.
   kAlreadyTried,     ///< An earlier attempt at the request used it.
   kCold,             ///< Cold, and this daemon may send it none for now.
   kSuspended,        ///< After failures.
--- a/packages/core/include/jasminehatch/detail/forwarding/options.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/options.h
@@ -42,6 +42,12 @@
   /// grace period, since they may only have failed to renew their entries.
   Duration removal_grace_period = std::chrono::milliseconds(2000);
 
+  /// Age of this daemon's knowledge of the registry up to which it takes the
+  /// only software version that it knows of a service for the only one there
+  /// is. No daemon begins resumable streams with a new version until it has
+  /// known of it for this long, so that the others know of it as well.
+  Duration max_registry_age = std::chrono::milliseconds(1600);
+
   /// Age of a published weight version from which upstreams that have it are
   /// preferred, as far as they have capacity.
   Duration version_soft_limit = std::chrono::milliseconds(1200);
--- a/packages/core/include/jasminehatch/detail/forwarding/request.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/request.h
@@ -60,6 +60,12 @@
                                            : arrival.resumed_request;
   }
 
+  /// @return whether the caller may resume the response after a break
+  bool IsResumableStream() const {
+    return route != nullptr && route->kind == RouteKind::kStreaming &&
+           route->resumable;
+  }
+
   /// @return whether the request may be sent again after it may have run
   bool IsRepeatable() const {
     return route->kind == RouteKind::kIdempotent ||
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -22,6 +22,8 @@
 #include "jasminehatch/detail/forwarding/fleet_load.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
+#include "jasminehatch/detail/forwarding/peer_contact.h"
+#include "jasminehatch/detail/forwarding/registry_knowledge.h"
 #include "jasminehatch/detail/forwarding/request.h"
 #include "jasminehatch/detail/forwarding/retry_allowance.h"
 #include "jasminehatch/detail/forwarding/route_table.h"
@@ -46,6 +48,8 @@
   ConfigurationLag lag;
   std::optional<StopRequested> stop;  ///< Set while the daemon stops.
   UpstreamDirectory upstreams;
+  RegistryKnowledge registry;
+  PeerContact peer_contact;
   CacheStores stores;
   CacheUseWindow cache_use;
   SharedClock shared_clock;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -92,6 +92,14 @@
   std::set<std::string> RecentSoftwareVersions(const std::string& service,
                                                MonotonicTime now) const;
 
+  /// @return when the first upstream with this software version joined the
+  /// service; empty if it was found at the start of this daemon
+  std::optional<MonotonicTime> SoftwareJoinedAt(
+      const std::string& service,
+      const std::string& version) const {
+    return m_software_history.JoinedAt(service, version);
+  }
+
   /// @return the upstream, or null
   Upstream* Find(const std::string& id);
   const Upstream* Find(const std::string& id) const;
@@ -143,6 +151,11 @@
  private:
   void Erase(const std::string& id, MonotonicTime now);
 
+  /// Records the software version of a process that is about to be added.
+  void RecordSoftware(const UpstreamEntry& entry,
+                      MonotonicTime now,
+                      bool just_written);
+
   /// @return the newest weights of the model at an upstream of the service, or
   /// 0
   std::uint64_t NewestInUse(const std::string& model,
@@ -154,7 +167,8 @@
   std::optional<MonotonicTime> m_removals_deferred_until;
   RemovedUpstreamNotices m_removed_notices;
   RemovedProcesses m_removed_processes;
-  SoftwareHistory m_software_history;  ///< Of removed upstreams.
+  SoftwareHistory m_software_history;
+  bool m_has_been_listed = false;  ///< All entries were read at least once.
   std::uint64_t m_last_entry_number = 0;
 };
 
--- a/packages/core/src/forwarding/placement.cc
+++ b/packages/core/src/forwarding/placement.cc
@@ -61,7 +61,9 @@
         m_version_limits(LimitsFor(state, request, now)),
         m_has_peer_reports(state.fleet.HasRecentReports(now)),
         m_allowed_zones(AllowedZonesOf(state, request)),
-        m_warm_up(FindWarmUp(state, request.service)) {
+        m_warm_up(FindWarmUp(state, request.service)),
+        m_begins_resumable_stream(request.IsResumableStream() &&
+                                  !request.software_version) {
     const Service* service =
         request.table ? request.table->FindService(request.service) : nullptr;
     if (service != nullptr && service->engine && request.arrival.prompt) {
@@ -155,6 +157,7 @@
     static constexpr std::array kChecks{
         Check{Exclusion::kPauseRequested, &UpstreamChooser::RequestsPause},
         Check{Exclusion::kAlreadyTried, &UpstreamChooser::WasTried},
+        Check{Exclusion::kNewSoftware, &UpstreamChooser::HasNewSoftware},
         Check{Exclusion::kCold, &UpstreamChooser::IsColdWithoutRoom}};
     return kChecks;
   }
@@ -438,6 +441,30 @@
            upstream.entry.software_version != *m_request.software_version;
   }
 
+  /// @return whether a stream must not begin with the software version of the
+  /// upstream, because another daemon may not yet have read of it and would
+  /// resume the stream with the version before. A version that joined when no
+  /// upstream had an earlier one, or when none is left that could run the
+  /// request, is used at once.
+  bool HasNewSoftware(const Upstream& upstream) const {
+    if (!m_begins_resumable_stream || !IsNewSoftware(upstream)) {
+      return false;
+    }
+    const auto others = m_state.upstreams.OfService(m_request.service);
+    return std::any_of(
+        others.begin(), others.end(), [this](const Upstream* other) {
+          return !IsNewSoftware(*other) && CanRun(*other) && !WasTried(*other);
+        });
+  }
+
+  bool IsNewSoftware(const Upstream& upstream) const {
+    const auto joined_at = m_state.upstreams.SoftwareJoinedAt(
+        upstream.entry.service, upstream.entry.software_version);
+    const auto known_at = m_state.registry.KnownAt();
+    return joined_at && (!known_at || *known_at - *joined_at <
+                                          m_state.options.max_registry_age);
+  }
+
   bool LacksMemory(const Candidate& candidate) const {
     return m_engine_memory_tokens > 0 && candidate.memory_share > MemoryLimit();
   }
@@ -525,6 +552,7 @@
   AllowedZones m_allowed_zones;
 
   const WarmUpSpec* m_warm_up;  ///< Null if the upstreams have none.
+  bool m_begins_resumable_stream;
   /// Memory of each engine, in tokens; 0 if unknown or for requests without a
   /// prompt.
   double m_engine_memory_tokens = 0;
--- a/packages/core/src/forwarding/placement_names.cc
+++ b/packages/core/src/forwarding/placement_names.cc
@@ -16,11 +16,21 @@
 std::string_view ToString(Exclusion exclusion) {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(Exclusion::kCount)>
-      kNames{"region",         "evacuated",       "draining",
-             "loading",        "weights_unknown", "weights_outdated",
-             "other_software", "pause_requested", "already_tried",
-             "cold",           "suspended",       "paused",
-             "replaced",       "zone_unreachable"};
+      kNames{"region",
+             "evacuated",
+             "draining",
+             "loading",
+             "weights_unknown",
+             "weights_outdated",
+             "other_software",
+             "pause_requested",
+             "new_software",
+             "already_tried",
+             "cold",
+             "suspended",
+             "paused",
+             "replaced",
+             "zone_unreachable"};
   return kNames.at(static_cast<std::size_t>(exclusion));
 }
 
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -53,9 +53,15 @@
     ReportIfCold(event.entry.id);
   }
   void Apply(const UpstreamRemoved& event) {
+    if (m_state.upstreams.Find(event.id) == nullptr) {
+      // Only the newest record of a key is relayed.
+      RecordRegistryGap();
+    }
     m_state.upstreams.Remove(event.id, m_now);
   }
   void Apply(const UpstreamsListed& event) {
+    RecordRegistryGap();
+    m_state.registry.OnListed(event.from_older_copy);
     if (event.from_older_copy) {
       m_state.upstreams.AddFromOlderCopy(event.entries, m_now);
     } else {
@@ -66,6 +72,9 @@
   void Apply(const SoftwareVersionSeen& event) {
     m_state.upstreams.OnSoftwareVersionSeen(event, m_now);
   }
+  void Apply(const RegistryKnown& event) {
+    m_state.registry.OnKnown(event.known_at);
+  }
   void Apply(const RegistryRecovered& /*event*/) {
     m_state.upstreams.OnRegistryRecovered(m_now, m_state.options);
   }
@@ -115,6 +124,7 @@
   }
   void Apply(const PeerHeard& event) {
     m_state.members.OnHeard(event.daemon, event.zone, event.stopping, m_now);
+    m_state.peer_contact.OnHeard(event.zone, m_now);
   }
   void Apply(const CrashReportReceived& event) { RecordCrash(event.report); }
   void Apply(const PartVerdictReceived& event) {
@@ -196,6 +206,12 @@
   /// @return why the request is refused if no upstream can take it
   std::optional<Denial> FindPlacementDenial(const Request& request,
                                             const Placement& placement) const;
+  /// @return whether no stream can have begun with a software version that this
+  /// daemon has not yet read of, unless a peer told of the stream
+  bool KnowsSoftwareVersions() const;
+  /// Records that entries of the registry may have come and gone unread, unless
+  /// this daemon would know of all streams that began with them.
+  void RecordRegistryGap();
   /// Finds the software version that began the stream of a request that resumes
   /// one.
   /// @return why the request is refused if the version is not known
--- a/packages/core/src/forwarding/stream_resumption.cc
+++ b/packages/core/src/forwarding/stream_resumption.cc
@@ -19,15 +19,36 @@
                      });
 }
 
-bool IsResumableStream(const Request& request) {
-  return request.route->kind == RouteKind::kStreaming &&
-         request.route->resumable;
+Denial MakeDenialForUnknownOrigin(const std::string& reason) {
+  return {RefusalCode::kNoUpstream,
+          reason +
+              ", and it is not known which software version began the "
+              "stream",
+          Counter::kRefusedUnknownOrigin};
 }
 
 }  // namespace
 
+bool Reducer::KnowsSoftwareVersions() const {
+  const auto known_at = m_state.registry.KnownAt();
+  if (!known_at) {
+    return false;
+  }
+  // No daemon begins streams with a version that is new to the registry within
+  // this time. Streams that began later are known from the peers, as long as
+  // their messages arrived all the time.
+  return m_now - *known_at <= m_state.options.max_registry_age ||
+         m_state.peer_contact.HasHeldSince(*known_at, m_now);
+}
+
+void Reducer::RecordRegistryGap() {
+  if (m_state.registry.KnownAt() && !KnowsSoftwareVersions()) {
+    m_state.registry.OnGap(m_now);
+  }
+}
+
 std::optional<Denial> Reducer::FindOrigin(Request& request) const {
-  if (request.last_event.empty() || !IsResumableStream(request)) {
+  if (request.last_event.empty() || !request.IsResumableStream()) {
     return std::nullopt;
   }
   const StreamOrigin* origin =
@@ -40,12 +61,17 @@
   const auto versions =
       m_state.upstreams.RecentSoftwareVersions(request.service, m_now);
   if (versions.size() > 1) {
-    return Denial{RefusalCode::kNoUpstream,
-                  "service " + request.service + " runs " +
-                      std::to_string(versions.size()) +
-                      " software versions, and it is not known which one "
-                      "began the stream",
-                  Counter::kRefusedUnknownOrigin};
+    return MakeDenialForUnknownOrigin("service " + request.service + " runs " +
+                                      std::to_string(versions.size()) +
+                                      " software versions");
+  }
+  if (!KnowsSoftwareVersions()) {
+    return MakeDenialForUnknownOrigin(
+        "the registry was not read, and peers not heard, without interruption");
+  }
+  if (m_state.registry.HasGapWithin(kMaxResumeTime, m_now)) {
+    return MakeDenialForUnknownOrigin(
+        "entries of the registry may have come and gone unread");
   }
   if (!versions.empty()) {
     request.software_version = *versions.begin();
@@ -54,7 +80,7 @@
 }
 
 void Reducer::RecordOrigin(Request& request) {
-  if (!IsResumableStream(request)) {
+  if (!request.IsResumableStream()) {
     return;
   }
   if (!request.software_version) {
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -53,6 +53,7 @@
     // What was known of the earlier process does not apply after a restart.
     Erase(entry.id, now);
   }
+  RecordSoftware(entry, now, just_written);
   auto upstream = std::make_unique<Upstream>();
   upstream->entry = entry;
   upstream->entry_number = ++m_last_entry_number;
@@ -63,6 +64,20 @@
   m_upstreams.emplace(entry.id, std::move(upstream));
 }
 
+void UpstreamDirectory::RecordSoftware(const UpstreamEntry& entry,
+                                       MonotonicTime now,
+                                       bool just_written) {
+  const bool found_at_start = !just_written && !m_has_been_listed;
+  const auto others = OfService(entry.service);
+  const bool is_running = std::any_of(
+      others.begin(), others.end(), [&entry](const Upstream* other) {
+        return other->entry.software_version == entry.software_version;
+      });
+  if (!found_at_start && !is_running) {
+    m_software_history.OnJoined(entry.service, entry.software_version, now);
+  }
+}
+
 void UpstreamDirectory::Erase(const std::string& id, MonotonicTime now) {
   const auto found = m_upstreams.find(id);
   if (found == m_upstreams.end()) {
@@ -111,6 +126,7 @@
     listed.insert(entry.id);
     Register(entry, now, false);
   }
+  m_has_been_listed = true;
   std::vector<std::string> removed;
   for (const auto& [id, upstream] : m_upstreams) {
     if (!listed.contains(id)) {
--- a/packages/core/tests/forwarding_fixture.h
+++ b/packages/core/tests/forwarding_fixture.h
@@ -84,6 +84,9 @@
   /// Confirms that the configuration is the newest one.
   void Confirm() { Apply(ConfigurationConfirmed{m_now}); }
 
+  /// Records that the daemon knows all that the registry has now.
+  void KnowRegistry() { Apply(RegistryKnown{m_now}); }
+
   Configuration MakeConfiguration(std::uint64_t version) const;
   Prompt MakePrompt(std::uint32_t own_tokens = 100) const;
 
--- a/packages/core/tests/stream_resumption_test.cc
+++ b/packages/core/tests/stream_resumption_test.cc
@@ -28,6 +28,14 @@
   Daemon() {
     AddEngines("v1");
     AddEngines("v2");
+    LearnSoftware();
+  }
+
+  /// Waits until streams may begin with each version that joined.
+  void LearnSoftware() {
+    Wait(CurrentState().options.max_registry_age);
+    Confirm();
+    KnowRegistry();
   }
 
   void AddEngines(const std::string& version) {
@@ -51,8 +59,15 @@
     return VersionOf(upstream);
   }
 
-  /// Applies a request of a caller that resumes a stream.
+  /// Applies a request of a caller that resumes a stream, right after the
+  /// registry was read.
   forwarding::Effects Resume(const std::string& stream) {
+    KnowRegistry();
+    return ResumeUnread(stream);
+  }
+
+  /// Applies the same request without a read of the registry.
+  forwarding::Effects ResumeUnread(const std::string& stream) {
     Confirm();
     RequestReceived arrival = MakeArrival("/resume/", "key-a", 2s);
     arrival.request = RequestId{1000 + ++m_resumed};
@@ -208,3 +223,155 @@
   CHECK(origins.Find(StreamOrigins::kMaxOrigins) == nullptr);
   CHECK(origins.Find(1U << 20U) != nullptr);
 }
+
+// Guards against a daemon that stood still or was cut off while upstreams of a
+// new version joined: it took the version that it knew for the only one.
+TEST(StreamResumption, AVersionOfAnOutdatedRegistryIsNoProof) {
+  Daemon daemon;
+  daemon.RemoveEngines("v2");
+  daemon.Wait(kMaxResumeTime + 1ms);
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+  daemon.KnowRegistry();
+  daemon.Wait(daemon.CurrentState().options.max_registry_age);
+  OnlyStart(daemon.ResumeUnread("unheard-of"));
+  daemon.Wait(1ms);
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+  // The records of before arrive late, and prove nothing of the time since.
+  daemon.Apply(RegistryKnown{daemon.Now() - 10s});
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+  OnlyStart(daemon.Resume("unheard-of"));
+}
+
+// Guards against a daemon that has not read the registry yet.
+TEST(StreamResumption, AnUnreadRegistryIsNoProof) {
+  ForwardingFixture fixture;
+  fixture.AddUpstream("a", "engine", 1, "v1");
+  RequestReceived arrival = fixture.MakeArrival("/resume/", "key-a", 2s);
+  arrival.resume_after = "17";
+  CheckUnknownOrigin(fixture.Apply(arrival));
+}
+
+// Guards against streams that are lost in an outage of the store, during which
+// the peers still tell of all streams that began with another version.
+TEST(StreamResumption, InTouchWithItsPeersADaemonNeedsNoNewerRegistry) {
+  Daemon daemon;
+  daemon.RemoveEngines("v2");
+  daemon.Wait(kMaxResumeTime + 1ms);
+  const auto hear = [&daemon](const std::string& zone) {
+    daemon.Apply(PeerHeard{"peer-" + zone, zone, false});
+  };
+  const auto hear_for = [&](Duration time, const std::string& zones) {
+    for (Duration passed{}; passed < time; passed += 200ms) {
+      daemon.Wait(200ms);
+      for (const char zone : zones) {
+        hear({zone});
+      }
+    }
+  };
+  hear_for(2s, "abc");
+  daemon.KnowRegistry();
+  hear_for(10s, "ab");
+  OnlyStart(daemon.ResumeUnread("unheard-of"));
+  // Cut off with the peers of its own zone.
+  hear_for(2s, "a");
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+  // In touch again: what was missed meanwhile is not known.
+  hear_for(2s, "abc");
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+  daemon.KnowRegistry();
+  hear_for(10s, "abc");
+  OnlyStart(daemon.ResumeUnread("unheard-of"));
+  // Suspended: requests are read before the messages that have waited.
+  daemon.Wait(5s);
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+  hear_for(200ms, "abc");
+  CheckUnknownOrigin(daemon.ResumeUnread("unheard-of"));
+}
+
+// Guards against a registry that came back from an older copy, which lacks the
+// upstreams of a version that joined after it.
+TEST(StreamResumption, AnOlderCopyOfTheRegistryIsNoProof) {
+  Daemon daemon;
+  daemon.RemoveEngines("v2");
+  daemon.Wait(kMaxResumeTime + 1ms);
+  daemon.KnowRegistry();
+  std::vector<UpstreamEntry> entries;
+  for (const auto& [id, upstream] : daemon.CurrentState().upstreams.All()) {
+    entries.push_back(upstream->entry);
+  }
+  daemon.Apply(UpstreamsListed{entries, true});
+  daemon.Wait(daemon.CurrentState().options.max_registry_age + 1ms);
+  CheckUnknownOrigin(daemon.Resume("unheard-of"));
+}
+
+// Guards against a version that came and went while the daemon was out of step,
+// and whose records it cannot read any more.
+TEST(StreamResumption, AGapInTheRegistryCountsUntilItsStreamsAreOver) {
+  const auto list = [](Daemon& daemon) {
+    UpstreamsListed listed;
+    for (const auto& [id, upstream] : daemon.CurrentState().upstreams.All()) {
+      listed.entries.push_back(upstream->entry);
+    }
+    daemon.Apply(listed);
+  };
+  const auto remove = [](Daemon& daemon) {
+    daemon.Apply(UpstreamRemoved{"never-seen"});
+  };
+  for (const bool by_removal : {false, true}) {
+    Daemon daemon;
+    daemon.RemoveEngines("v2");
+    daemon.Wait(kMaxResumeTime + 1ms);
+    const auto read = [&] { by_removal ? remove(daemon) : list(daemon); };
+    daemon.KnowRegistry();
+    daemon.Wait(1s);
+    read();
+    OnlyStart(daemon.Resume("unheard-of"));
+    daemon.Wait(5s);
+    read();
+    CheckUnknownOrigin(daemon.Resume("unheard-of"));
+    daemon.Wait(kMaxResumeTime);
+    CheckUnknownOrigin(daemon.Resume("unheard-of"));
+    daemon.Wait(1ms);
+    OnlyStart(daemon.Resume("unheard-of"));
+  }
+}
+
+// Guards against streams that begin with a version before the other daemons
+// have read of it: one that is cut off from its peers would resume them with
+// the version before.
+TEST(StreamResumption, ANewVersionBeginsStreamsOnceAllKnowIt) {
+  Daemon daemon;
+  daemon.AddEngines("v3");
+  const auto begins_at = [&daemon](const std::string& version) {
+    bool begins = false;
+    for (int i = 0; i < 30; ++i) {
+      daemon.Confirm();
+      const std::string part = "part-" + std::to_string(i);
+      const std::string upstream =
+          OnlyStart(daemon.SendParts({part}, "/resume/")).upstream;
+      begins = begins || Daemon::VersionOf(upstream) == version;
+      daemon.End(AttemptOutcome::kCompleted);
+    }
+    return begins;
+  };
+  const Duration age = daemon.CurrentState().options.max_registry_age;
+  CHECK_FALSE(begins_at("v3"));
+  daemon.Wait(age - 1ms);
+  daemon.KnowRegistry();
+  CHECK_FALSE(begins_at("v3"));
+  // In an outage of the registry, the others may know less.
+  daemon.Wait(age);
+  CHECK_FALSE(begins_at("v3"));
+  daemon.KnowRegistry();
+  CHECK(begins_at("v3"));
+}
+
+// Guards against requests that are refused though upstreams of a new version
+// are the only ones that can run them.
+TEST(StreamResumption, ANewVersionIsUsedAtOnceIfNoOtherIsLeft) {
+  Daemon daemon;
+  daemon.AddEngines("v3");
+  daemon.RemoveEngines("v1");
+  daemon.RemoveEngines("v2");
+  OnlyStart(daemon.Send("/resume/"));
+}
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -283,7 +283,8 @@
   callbacks.on_records = [this](auto records) {
     m_upstream_records.ApplyChanges(records);
   };
-  callbacks.on_caught_up = [this](MonotonicTime /*known_at*/) {
+  callbacks.on_caught_up = [this](MonotonicTime known_at) {
+    m_host.Apply(forwarding::RegistryKnown{known_at});
     OnRegistryKnown();
   };
   callbacks.on_unavailable = [this](const std::string& detail) {
--- a/packages/daemon/src/forwarder/forwarder_options.cc
+++ b/packages/daemon/src/forwarder/forwarder_options.cc
@@ -30,6 +30,11 @@
 constexpr double kReaderRegistryPauseFraction = 0.3;
 constexpr double kMaxRelayedRegistryAgeFraction = 0.55;
 
+/// `Options::max_registry_age`. Above the age that a daemon's knowledge of the
+/// registry has while the store can be read, which is 0.55 plus the time of two
+/// reads, also after a read that failed once and was tried again after 250 ms.
+constexpr double kMaxRegistryAgeFraction = 0.8;
+
 /// Maximum age of a freshness proof as a fraction of `revoke_limit`, the
 /// maximum time for which a revoked API key is still accepted. The limit
 /// applies to the time at which a caller sends a request, which is before its
@@ -72,6 +77,8 @@
       scale(settings.version_limit, kMinVersionLimitFraction));
   options.found_version_limit =
       scale(settings.contact_limit, kContactLimitFraction);
+  options.max_registry_age =
+      scale(settings.drain_limit, kMaxRegistryAgeFraction);
   options.retry_ratio = settings.retry_ratio;
   options.retry_slack = settings.retry_slack;
   options.retry_window = settings.retry_window;
--- a/packages/daemon/tests/software_version_test.cc
+++ b/packages/daemon/tests/software_version_test.cc
@@ -4,6 +4,8 @@
 #include <jasminehatch/daemon.h>
 #include <jasminehatch/emulator.h>
 
+#include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <string>
 
@@ -76,3 +78,26 @@
   fixture.Platform().Compact(kRegistryTopic);
   LONGS_EQUAL(200, ResumeAtNewDaemon(fixture));
 }
+
+// Guards against a daemon whose reads of the registry fail while upstreams of
+// another version join: it took the version that it knew for the only one.
+TEST(SoftwareVersion, WithoutTheRegistryAStreamOfAnotherDaemonIsNotJoined) {
+  ForwarderFixture fixture;
+  CHECK(fixture.WaitUntilReady());
+  AnswerResumed(fixture);
+  fixture.SetCallerHeaders({{"Last-Event-Id", "1"}, {"Resumes", "earlier"}});
+  LONGS_EQUAL(200, fixture.Send("/stream/x").head.status);
+  fixture.SetCallerHeaders({{"Last-Event-Id", "1"}, {"Resumes", "later"}});
+  fixture.Platform().SetTopicDown(kRegistryTopic, true);
+  // 0.8 of `drain_limit`, and the age of the latest read.
+  bool waited = false;
+  asio::steady_timer timer(fixture.Loop(), std::chrono::milliseconds(2500));
+  timer.async_wait([&waited](const asio::error_code&) { waited = true; });
+  CHECK(fixture.RunUntil([&waited] { return waited; }));
+  const std::size_t runs = fixture.RunCount();
+  LONGS_EQUAL(503, fixture.Send("/stream/x").head.status);
+  UNSIGNED_LONGS_EQUAL(runs, fixture.RunCount());
+  fixture.Platform().SetTopicDown(kRegistryTopic, false);
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.Send("/stream/x").head.status == 200; }));
+}
--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -81,6 +81,11 @@
   /// While the store is down, each call gets status 503.
   void SetDown(bool down) { m_down = down; }
 
+  /// While a topic is down, each call for it gets status 503.
+  void SetTopicDown(const std::string& topic, bool down) {
+    m_topics[topic].down = down;
+  }
+
   /// Calls that arrived so far.
   std::uint64_t CallCount() const { return m_calls; }
 
@@ -91,6 +96,7 @@
     std::vector<std::string> records;
     std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
     std::uint64_t reads = 0;
+    bool down = false;
 
     std::uint64_t End() const { return first + records.size(); }
   };
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -134,7 +134,7 @@
     const net::HttpRequest& request,
     const std::shared_ptr<net::ResponseWriter>& writer) {
   ++m_calls;
-  if (m_down) {
+  if (m_down || m_topics[TopicOf(request)].down) {
     Send(*writer, 503, "");
   } else if (request.path == "/log-read") {
     Read(request, writer);
