Split the dispatcher by job

Each is a class of its own now: CandidateUpstreams, IsolatedUpstreams, AttemptStarter, WaitingRequests, UnservedRequests, RequestRegions and Dispatcher. VersionGroup and ModelGroup have the functions that only change their members.

--- a/packages/core/include/jasminehatch/detail/serving/dispatcher.h
+++ b/packages/core/include/jasminehatch/detail/serving/dispatcher.h
@@ -1,15 +1,15 @@
 #ifndef JASMINEHATCH_DETAIL_SERVING_DISPATCHER_H_
 #define JASMINEHATCH_DETAIL_SERVING_DISPATCHER_H_
 
-#include <cstddef>
-#include <optional>
-#include <span>
 #include <string>
 
 #include "jasminehatch/detail/base/strong_id.h"
-#include "jasminehatch/detail/base/time.h"
-#include "jasminehatch/detail/serving/residency.h"
-#include "jasminehatch/detail/serving/router.h"
+#include "jasminehatch/detail/serving/attempt_starter.h"
+#include "jasminehatch/detail/serving/candidate_upstreams.h"
+#include "jasminehatch/detail/serving/isolated_upstreams.h"
+#include "jasminehatch/detail/serving/request_regions.h"
+#include "jasminehatch/detail/serving/unserved_requests.h"
+#include "jasminehatch/detail/serving/waiting_requests.h"
 
 namespace jasminehatch::serving {
 
@@ -29,14 +29,20 @@
              ColdUpstreams& cold_upstreams)
       : m_context(context),
         m_requests(requests),
-        m_cold_upstreams(cold_upstreams) {}
+        m_candidates(context, cold_upstreams),
+        m_starter(context, requests, cold_upstreams, m_candidates, m_isolated),
+        m_waiting(context, requests, cold_upstreams, m_candidates, m_unserved) {
+  }
+  // The parts refer to each other.
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
 
   /// @brief Starts, queues or refuses a new request; a refused one is erased.
   void Admit(Request& request);
 
   /// @brief Queues a request for a further attempt. Call `DispatchModel`
   /// afterwards.
-  void Requeue(Request& request);
+  void Requeue(Request& request) { m_waiting.Requeue(request); }
 
   /// @brief Starts all waiting requests of the model for which there is
   /// capacity. Constant time if none waits, otherwise linear in the upstreams
@@ -49,57 +55,29 @@
 
   /// @brief Refuses the requests that wait for a weight version that no
   /// configured upstream has any more.
-  void RefuseUnserved(const std::string& model);
+  void RefuseUnserved(const std::string& model) {
+    m_unserved.RefuseWaiting(model);
+  }
 
   /// Applies changed regions to the requests in progress. Running attempts go
   /// on; the next attempt obeys the regions.
-  void ApplyResidency();
+  void ApplyResidency() { m_regions.OnResidencyChanged(); }
 
  private:
-  void ApplyResidency(Request& request);
-  static void SetRegions(Request& request, RegionLists regions);
-
-  /// Refuses a request that no upstream serves, and says whether one does in an
-  /// evacuated zone; `request` is dangling afterwards.
-  void RefuseUnserved(Request& request, std::string detail);
-
-  enum class Outcome { kStarted, kNoUpstream, kRefused };
-
-  /// @return the upstreams that serve the version, regardless of capacity
-  std::span<const UpstreamId> Serving(ModelGroup& model, VersionGroup& group);
-  void CollectCandidates(ModelGroup& model, const Request& request);
-  Outcome TryStart(ModelGroup& model, Request& request);
-  Outcome TryStartAlone(ModelGroup& model, Request& request);
-  std::optional<UpstreamId> ChooseUpstreamToIsolate(ModelGroup& model,
-                                                    const Request& request);
-  void Isolate(Request& request, UpstreamId upstream);
-  Outcome StartOn(Request& request, std::span<const UpstreamId> candidates);
-  void Start(Request& request, const Route& route);
-  /// @return whether the upstream has capacity, also as far as its warm-up is
-  /// concerned
-  bool HasRoom(UpstreamId upstream) const;
-  bool HasRoom(ModelGroup& model, VersionGroup& group);
-  /// Sets timers for when cold upstreams may get the waiting requests.
-  void SetRoomTimers(ModelGroup& model, VersionGroup& group);
-  /// Refuses a new request that all upstreams are too cold for until its
-  /// deadline or the limit of its wait; `request` is then dangling.
-  /// @return whether it was refused
-  bool RefuseForWarmUp(Request& request,
-                       ModelGroup& model,
-                       VersionGroup& group);
+  void AdmitSuspect(Request& request, ModelGroup& model, VersionGroup& group);
   bool StartRetries(ModelGroup& model, VersionGroup& group);
   void StartSuspects(ModelGroup& model, VersionGroup& group);
+  void StartQueued(ModelGroup& model, VersionGroup& group);
   void DispatchVersion(ModelGroup& model, VersionGroup& group);
-  void AddToQueue(Request& request, ModelGroup& model, VersionGroup& group);
-  /// Makes room in a full queue: refuses a queued request or, returning false,
-  /// `request` itself.
-  bool MakeRoom(const Request& request, VersionGroup& group);
-  void SetWaitTimer(Request& request);
-  bool IsSuspect(const Request& request) const;
 
   StepContext& m_context;
   RequestTable& m_requests;
-  ColdUpstreams& m_cold_upstreams;
+  CandidateUpstreams m_candidates;
+  IsolatedUpstreams m_isolated{m_context, m_requests, m_candidates};
+  UnservedRequests m_unserved{m_context, m_requests};
+  AttemptStarter m_starter;
+  WaitingRequests m_waiting;
+  RequestRegions m_regions{m_context, m_requests, m_waiting};
 };
 
 }  // namespace jasminehatch::serving
--- a/packages/core/include/jasminehatch/detail/serving/model_group.h
+++ b/packages/core/include/jasminehatch/detail/serving/model_group.h
@@ -3,39 +3,17 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "jasminehatch/detail/base/strong_id.h"
-#include "jasminehatch/detail/base/time.h"
-#include "jasminehatch/detail/serving/fair_queue.h"
-#include "jasminehatch/detail/serving/residency.h"
+#include "jasminehatch/detail/serving/version_group.h"
 
 namespace jasminehatch::serving {
 
-/// @brief Requests that wait for upstreams of one model and weight version and
-/// that may use the same regions.
-struct VersionGroup {
-  std::string version;
-  RegionLists regions;  ///< That all of its requests must obey.
-  FairQueue queue;      ///< New requests; at most `Options::queue_limit`.
-  /// Upstreams that serve the version in these regions, in increasing order
-  /// of id.
-  std::vector<UpstreamId> serving;
-  /// Value of `ModelGroup::changes` for which `serving` was computed.
-  std::uint64_t serving_as_of = 0;
-  std::deque<RequestId> retries;
-  std::deque<RequestId> suspects;  ///< Wait for an isolated upstream.
-  MonotonicTime last_dispatch{};
-  double dispatch_gap_seconds =
-      0;  ///< Moving average of the time between dispatches from the queue.
-
-  std::size_t Waiting() const {
-    return queue.Size() + retries.size() + suspects.size();
-  }
-};
+struct Request;
 
 /// @brief The upstreams of one model and the requests that wait for them.
 struct ModelGroup {
@@ -46,6 +24,12 @@
       versions;          ///< By `GroupKey`.
   std::size_t turn = 0;  ///< Number of the group that is dispatched first if
                          ///< groups compete for upstreams.
+
+  /// @return the group in which the request waits, which may be new
+  VersionGroup& GroupOf(const Request& request);
+
+  /// Erases the groups without waiting requests if there are many groups.
+  void EraseIdleVersions();
 };
 
 }  // namespace jasminehatch::serving
--- a/packages/core/include/jasminehatch/detail/serving/state.h
+++ b/packages/core/include/jasminehatch/detail/serving/state.h
@@ -45,7 +45,7 @@
   CrashTable crashes;
   std::vector<bool> has_room;  ///< `UpstreamView::HasRoom` by UpstreamId; lets
                                ///< scans skip the views.
-  std::vector<UpstreamId> candidates;  ///< Reused by the dispatcher.
+  std::vector<UpstreamId> candidates;  ///< Reused by `CandidateUpstreams`.
   std::uint64_t next_attempt = 1;
   bool shutting_down = false;
   std::string daemon;    ///< Name of this daemon.
