--- a/packages/core/tests/lease_session_test.cc
+++ b/packages/core/tests/lease_session_test.cc
@@ -84,6 +84,18 @@
     }
   }
 
+  /// Starts entry-1 as the holder for one upstream, which counts its orders.
+  /// @param desired says in the trace what the upstream is to do
+  void HoldForCounting(const std::string& desired,
+                       const lease::DesiredChanged& event) {
+    m_states["entry-1"].self = {"entry-1", 1};
+    Send("entry-1", "starts",
+         lease::UpstreamConfigured{"group", "counting", false, true});
+    Send("entry-1", "counting is to " + desired, event);
+    Read("entry-1");
+    Read("entry-1");
+  }
+
   void Read(const std::string& daemon) {
     lease::LeaseRecordsRead event;
     for (const lease::LeaseRecord& record : m_log) {
@@ -148,13 +160,8 @@
 // although the upstream would reject late orders of an earlier holder, and
 // against an order without the number by which it rejects them.
 TEST(LeaseSession, OrderCountReplacesTheWaitForEarlierOrders) {
-  m_states["entry-1"].self = {"entry-1", 1};
-  Send("entry-1", "starts",
-       lease::UpstreamConfigured{"group", "counting", false, true});
-  Send("entry-1", "counting is to load m2",
-       lease::DesiredChanged{"group", "counting", {"m2", "", false}});
-  Read("entry-1");
-  Read("entry-1");
+  HoldForCounting(
+      "load m2", lease::DesiredChanged{"group", "counting", {"m2", "", false}});
   Report("entry-1", "counting");
   CHECK(m_trace.find("order counting") == std::string::npos);
   m_now += 10ms;
@@ -167,13 +174,8 @@
 // Guards against a holder that does not send its orders and does not say why,
 // or says it again and again.
 TEST(LeaseSession, HeldOrderIsReportedOnce) {
-  m_states["entry-1"].self = {"entry-1", 1};
-  Send("entry-1", "starts",
-       lease::UpstreamConfigured{"group", "counting", false, true});
-  Send("entry-1", "counting is to load m2",
-       lease::DesiredChanged{"group", "counting", {"m2", "", false}});
-  Read("entry-1");
-  Read("entry-1");
+  HoldForCounting(
+      "load m2", lease::DesiredChanged{"group", "counting", {"m2", "", false}});
   Report("entry-1", "counting");
   Timer("entry-1", 499ms);
   CHECK(m_trace.find("held for") == std::string::npos);
@@ -187,13 +189,9 @@
 // Guards against an order whose number no report has told: it could arrive
 // after an order of a successor and be accepted.
 TEST(LeaseSession, OnlyOneOrderHasTheReportedNumber) {
-  m_states["entry-1"].self = {"entry-1", 1};
-  Send("entry-1", "starts",
-       lease::UpstreamConfigured{"group", "counting", false, true});
-  Send("entry-1", "counting is to load m2 as an assistant",
-       lease::DesiredChanged{"group", "counting", {"m2", "assistant", false}});
-  Read("entry-1");
-  Read("entry-1");
+  HoldForCounting(
+      "load m2 as an assistant",
+      lease::DesiredChanged{"group", "counting", {"m2", "assistant", false}});
   m_trace.clear();
   Send("entry-1", "counting reports m1 and 7 orders",
        lease::StateReported{"group", "counting", {"m1", "", false}, 7});
@@ -308,13 +306,8 @@
 // again only long after it could accept the order, and against orders to one
 // that reports that it is busy.
 TEST(LeaseSession, RejectedOrderIsRepeatedOnceTheUpstreamIsNotBusy) {
-  m_states["entry-1"].self = {"entry-1", 1};
-  Send("entry-1", "starts",
-       lease::UpstreamConfigured{"group", "counting", false, true});
-  Send("entry-1", "counting is to load m2",
-       lease::DesiredChanged{"group", "counting", {"m2", "", false}});
-  Read("entry-1");
-  Read("entry-1");
+  HoldForCounting(
+      "load m2", lease::DesiredChanged{"group", "counting", {"m2", "", false}});
   const auto report = [&](std::uint64_t orders, bool busy) {
     Send("entry-1", "counting reports m1",
          lease::StateReported{
