Use one loop for tests that wait for a condition

Five test fixtures of net and daemon had copies of testing::RunUntil, two of them with a check after each handler. They call RunUntil and RunHandlersUntil of run_until.h now, with the same limit of 20 s and steps of 5 ms.

--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -15,6 +15,9 @@
 
 #include "jasminehatch/detail/forwarder/forwarding_host.h"
 #include "jasminehatch/detail/forwarder/peer_gossip.h"
+#include "jasminehatch/detail/testing/run_until.h"
+
+// Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -39,15 +42,7 @@
 
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + 20s;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) {
-        return false;
-      }
-      loop.restart();
-      loop.run_for(5ms);
-    }
-    return true;
+    return jasminehatch::testing::RunUntil(loop, condition);
   }
 };
 
--- a/packages/daemon/tests/wire_faults_test.cc
+++ b/packages/daemon/tests/wire_faults_test.cc
@@ -94,16 +94,7 @@
   /// Checks the condition after each handler.
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end =
-        std::chrono::steady_clock::now() + jasminehatch::testing::kRunTimeout;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) {
-        return false;
-      }
-      m_loop.restart();
-      m_loop.run_one_for(std::chrono::milliseconds(5));
-    }
-    return true;
+    return jasminehatch::testing::RunHandlersUntil(m_loop, condition);
   }
 
   void RunFor(std::chrono::milliseconds time) {
--- a/packages/net/tests/endless_test.cc
+++ b/packages/net/tests/endless_test.cc
@@ -14,6 +14,9 @@
 #include <string>
 #include <string_view>
 
+#include "jasminehatch/detail/testing/run_until.h"
+
+// Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -22,11 +25,10 @@
 using namespace jasminehatch::net;
 using namespace std::chrono_literals;
 using asio::ip::tcp;
+using jasminehatch::testing::RunUntil;
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{20};
-
 /// Memory that a call may use beyond the largest accepted message, in bytes.
 constexpr std::size_t kAllowedMemory = 24UL << 20U;
 
@@ -37,19 +39,6 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-template <typename Condition>
-bool RunUntil(asio::io_context& loop, Condition condition) {
-  const auto end = std::chrono::steady_clock::now() + kTimeout;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > end) {
-      return false;
-    }
-    loop.restart();
-    loop.run_for(5ms);
-  }
-  return true;
-}
-
 /// Sends endless requests to a server and checks that it closes the connection.
 void CheckEndlessRequests(asio::io_context& loop, std::uint16_t port) {
   for (const emulator::EndlessBytes& bytes : emulator::EndlessRequests()) {
--- a/packages/net/tests/stream_server_stop_test.cc
+++ b/packages/net/tests/stream_server_stop_test.cc
@@ -12,6 +12,9 @@
 #include <string>
 #include <string_view>
 
+#include "jasminehatch/detail/testing/run_until.h"
+
+// Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -21,8 +24,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{20};
-
 constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// @brief A server that counts its requests, and its loop.
@@ -39,15 +40,7 @@
 
   template <typename Condition>
   bool RunUntil(Condition condition) {
-    const auto end = std::chrono::steady_clock::now() + kTimeout;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) {
-        return false;
-      }
-      m_loop.restart();
-      m_loop.run_one_for(std::chrono::milliseconds(5));
-    }
-    return true;
+    return jasminehatch::testing::RunHandlersUntil(m_loop, condition);
   }
 
   /// Runs single handlers until the server has accepted a connection.
@@ -244,6 +237,7 @@
   const auto start = std::chrono::steady_clock::now();
   CHECK(fixture.RunUntil(
       [&] { return fixture.Server().BusyConnections() == 0; }));
-  CHECK(std::chrono::steady_clock::now() - start < kTimeout / 2);
+  CHECK(std::chrono::steady_clock::now() - start <
+        jasminehatch::testing::kRunTimeout / 2);
   UNSIGNED_LONGS_EQUAL(1, fixture.Handled());
 }
--- a/packages/net/tests/stream_test.cc
+++ b/packages/net/tests/stream_test.cc
@@ -14,33 +14,19 @@
 #include <utility>
 #include <vector>
 
+#include "jasminehatch/detail/testing/run_until.h"
+
+// Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace jasminehatch::net;
 using asio::ip::tcp;
+using jasminehatch::testing::RunUntil;
 
 namespace {
 
-/// Long enough for a busy machine; a test continues as soon as its condition
-/// holds.
-constexpr std::chrono::seconds kTimeout{20};
-
-/// Runs the loop until the condition holds.
-template <typename Condition>
-bool RunUntil(asio::io_context& loop, Condition condition) {
-  const auto end = std::chrono::steady_clock::now() + kTimeout;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > end) {
-      return false;
-    }
-    loop.restart();
-    loop.run_for(std::chrono::milliseconds(5));
-  }
-  return true;
-}
-
 /// @brief An upstream that sends given bytes on a connection once it has
 /// received a request or a given number of bytes.
 class RawUpstream {
