Restore the store from older copies in the soak test

The soak test had no drill in which the store loses acknowledged records, so that nothing checked configurations and registry entries across one with real processes.

The stand-in of the store keeps copies of all topics and comes back from one. The operator writes its newest configuration again, and upstreams their entries. Configurations are published all the time, each with a key of its own, so that refusals and runs tell which version a daemon has in force. The checker asserts that a configuration is in force within the apply limit, that it does not revert within a process, and that upstreams that left get no requests. A revocation counts from its first acknowledgement.

--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -2,8 +2,10 @@
 #define JASMINEHATCH_DETAIL_EMULATOR_PLATFORM_EMULATOR_H_
 
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -65,6 +67,18 @@
   /// topics stay as they are.
   void RestoreOlderCopy(const std::string& topic, std::uint64_t end);
 
+  /// Copies all topics at this interval from now on, for
+  /// `RestoreOlderCopyOfAll`.
+  /// @param retention copies that are older than this are dropped
+  void KeepCopies(std::chrono::milliseconds interval,
+                  std::chrono::milliseconds retention);
+
+  /// Makes the store come back from a copy of all topics: the newest one that
+  /// is at least this old, or else the oldest one. A copy may stem from before
+  /// an earlier call. Raises the epoch, and rejects reads that wait for a
+  /// record. Needs a copy that `KeepCopies` took.
+  void RestoreOlderCopyOfAll(std::chrono::milliseconds age);
+
   /// Makes the reads that wait for a record wait for ever, as on connections
   /// that have gone silent.
   void SilencePendingReads();
@@ -95,6 +109,12 @@
     std::uint64_t End() const { return first + records.size(); }
   };
 
+  /// All topics as they were at some time.
+  struct Copy {
+    std::chrono::steady_clock::time_point taken_at;
+    std::map<std::string, Topic> topics;
+  };
+
   /// A read that waits for a record.
   struct PendingRead {
     std::string topic;
@@ -115,6 +135,8 @@
   void AddRecord(const std::string& topic, const std::string& content);
   static void UpdateNewest(Topic& topic, std::uint64_t offset);
   void RejectPendingReads();
+  void TakeCopy(std::chrono::milliseconds interval,
+                std::chrono::milliseconds retention);
   void SendPage(net::ResponseWriter& writer,
                 const Topic& topic,
                 std::uint64_t from) const;
@@ -125,6 +147,8 @@
   std::map<std::string, Topic> m_topics;
   std::vector<std::shared_ptr<PendingRead>> m_pending_reads;
   std::vector<std::shared_ptr<PendingRead>> m_silent_reads;
+  std::deque<Copy> m_copies;  ///< Oldest first.
+  asio::steady_timer m_copy_timer;
   std::uint64_t m_calls = 0;
   std::uint64_t m_epoch = 1;
   bool m_down = false;
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -61,7 +61,8 @@
 
 }  // namespace
 
-PlatformEmulator::PlatformEmulator(asio::io_context& loop) : m_loop(loop) {
+PlatformEmulator::PlatformEmulator(asio::io_context& loop)
+    : m_loop(loop), m_copy_timer(loop) {
   m_server = std::make_unique<net::HttpServer>(
       loop, net::HttpServer::Options{},
       [this](const net::HttpRequest& request,
@@ -160,6 +161,41 @@
   }
 }
 
+void PlatformEmulator::KeepCopies(std::chrono::milliseconds interval,
+                                  std::chrono::milliseconds retention) {
+  TakeCopy(interval, retention);
+}
+
+void PlatformEmulator::TakeCopy(std::chrono::milliseconds interval,
+                                std::chrono::milliseconds retention) {
+  const auto now = std::chrono::steady_clock::now();
+  std::erase_if(m_copies, [&](const Copy& copy) {
+    return copy.taken_at + retention < now;
+  });
+  m_copies.push_back({now, m_topics});
+  m_copy_timer.expires_after(interval);
+  m_copy_timer.async_wait(
+      [this, interval, retention](const asio::error_code& error) {
+        if (!error) {
+          TakeCopy(interval, retention);
+        }
+      });
+}
+
+void PlatformEmulator::RestoreOlderCopyOfAll(std::chrono::milliseconds age) {
+  RejectPendingReads();
+  ++m_epoch;
+  const auto latest = std::chrono::steady_clock::now() - age;
+  const auto newer =
+      std::find_if(m_copies.begin(), m_copies.end(),
+                   [&](const Copy& copy) { return copy.taken_at > latest; });
+  auto topics = (newer == m_copies.begin() ? newer : newer - 1)->topics;
+  for (const auto& [name, topic] : m_topics) {
+    topics[name].reads = topic.reads;
+  }
+  m_topics = std::move(topics);
+}
+
 void PlatformEmulator::SilencePendingReads() {
   for (const auto& reader : m_pending_reads) {
     reader->timer->cancel();
--- a/packages/soak/include/jasminehatch/detail/soak/guarantee_checker.h
+++ b/packages/soak/include/jasminehatch/detail/soak/guarantee_checker.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,15 @@
  public:
   struct Options {
     Duration revoke_limit = std::chrono::milliseconds(2500);
+    /// Time within which an acknowledged configuration is in force at a daemon
+    /// that has contact to the store.
+    Duration apply_limit = std::chrono::milliseconds(2000);
+    /// Time for which an upstream that leaves may still get requests from a
+    /// daemon that has contact to the store.
+    Duration drain_limit = std::chrono::milliseconds(2000);
+    /// Time after the start of a daemon, or the end of a fault between it and
+    /// the store, from which it counts as having contact.
+    Duration contact_limit = std::chrono::milliseconds(3000);
     double retry_ratio = 0.2;
     double retry_slack = 50;
     Duration retry_window = std::chrono::seconds(10);
@@ -39,25 +49,46 @@
 
   explicit GuaranteeChecker(const Options& options) : m_options(options) {}
 
+  /// @param process process of the daemon that the request was sent to
   void OnSent(const std::string& request,
               RequestKind kind,
               const std::string& key,
+              const std::string& process,
               MonotonicTime now);
 
   /// An upstream received a request, whether it runs it or not.
   void OnArrived(const std::string& request, MonotonicTime now);
 
+  /// An upstream received a request.
+  /// @param undisturbed_since since when nothing has been injected that keeps
+  /// its daemon from the store or delays the request; nothing during a fault
+  void OnForwarded(const std::string& request,
+                   const std::string& upstream,
+                   std::optional<MonotonicTime> undisturbed_since,
+                   MonotonicTime now);
+
   /// An upstream began to run a request.
+  /// @param process process of its daemon now; another one than the request was
+  /// sent to proves nothing about either
   /// @param signature signature of the response
   /// @param workspace workspace in the headers of the upstream
   /// @param authorization key in the headers of the upstream; must be empty
   void OnRan(const std::string& request,
              const std::string& signature,
              const std::string& workspace,
-             const std::string& authorization);
+             const std::string& authorization,
+             const std::string& process);
 
   void OnResponse(const std::string& request, const CallerView& view);
 
+  /// The key of a request was refused as unknown.
+  /// @param process process of its daemon now
+  /// @param undisturbed_since since when nothing has been injected that keeps
+  /// its daemon from the store; nothing during a fault
+  void OnKeyRefused(const std::string& request,
+                    const std::string& process,
+                    std::optional<MonotonicTime> undisturbed_since);
+
   /// The connection of a request ended without a response.
   /// @param disturbed whether its daemon was killed or paused meanwhile
   /// @param stopping whether its daemon was requested to stop; it then has to
@@ -67,10 +98,21 @@
   /// A request has not ended long after its deadline.
   void OnOverdue(const std::string& request, bool disturbed);
 
-  /// The key belongs to the workspace from now on.
-  void OnKeyAdded(const std::string& key, const std::string& workspace);
-  /// The removal of the key was acknowledged.
-  void OnKeyRevoked(const std::string& key, MonotonicTime now);
+  /// The operator is about to write a configuration; each one has a higher
+  /// version than those before.
+  /// @param keys workspaces by their keys; no key comes back after it was
+  /// removed
+  void OnConfiguration(std::uint64_t version,
+                       const std::map<std::string, std::string>& keys);
+
+  /// The store acknowledged a configuration. Only the first acknowledgement of
+  /// a version counts.
+  void OnAcknowledged(std::uint64_t version, MonotonicTime now);
+
+  /// The store acknowledged that an upstream drains or is removed.
+  void OnUpstreamLeaving(const std::string& upstream, MonotonicTime now);
+  /// An upstream is about to register again.
+  void OnUpstreamReturned(const std::string& upstream);
 
   /// A daemon exited without having been requested to stop.
   void OnExit(const std::string& daemon);
@@ -98,6 +140,9 @@
   struct Request {
     RequestKind kind = RequestKind::kOnce;
     std::string key;
+    std::string process;
+    /// Lowest version that may have been in force at the process.
+    std::uint64_t version_when_sent = 0;
     MonotonicTime sent_at{};
     std::size_t arrivals = 0;
     std::vector<std::string> signatures;  ///< One for each run.
@@ -105,8 +150,8 @@
   };
   struct Key {
     std::string workspace;
-    bool revoked = false;
-    MonotonicTime revoked_at{};
+    std::uint64_t added_by = 0;    ///< Version of the configuration.
+    std::uint64_t removed_by = 0;  ///< 0 while no configuration removed it.
   };
 
   void AddViolation(const std::string& violation, const std::string& request);
@@ -115,10 +160,26 @@
                     const CallerView& view);
   bool EventsInOrder(const CallerView& view) const;
   void CheckRetries();
+  void CheckKey(const std::string& id,
+                const Request& request,
+                const std::string& process);
+
+  /// @return when the store first acknowledged a configuration of this or a
+  /// later version
+  std::optional<MonotonicTime> AcknowledgedAt(std::uint64_t version) const;
+
+  /// Notes that a version, or a later one, has been in force at a process.
+  void OnInForce(const std::string& process, std::uint64_t version);
 
   Options m_options;
   std::map<std::string, Request> m_requests;
   std::map<std::string, Key> m_keys;
+  /// First acknowledgement of each version.
+  std::map<std::uint64_t, MonotonicTime> m_acknowledged;
+  /// Highest version that was certainly in force, by process.
+  std::map<std::string, std::uint64_t> m_in_force;
+  /// Upstreams that leave or left, with the acknowledgement of that.
+  std::map<std::string, MonotonicTime> m_leaving;
   std::vector<MonotonicTime> m_sent;
   std::vector<MonotonicTime> m_retries;       ///< Arrivals beyond the first.
   std::map<std::string, bool> m_over_memory;  ///< Daemons already reported.
--- a/packages/soak/include/jasminehatch/detail/soak/soak_run.h
+++ b/packages/soak/include/jasminehatch/detail/soak/soak_run.h
@@ -49,6 +49,8 @@
   bool Run();
 
  private:
+  /// What an upstream announces of itself.
+  enum class UpstreamState { kReady, kDraining, kRemoved };
   struct Daemon {
     std::string name;
     std::string address;
@@ -58,7 +60,10 @@
     std::unique_ptr<LoopbackProxy> store_link;
     std::unique_ptr<DatagramProxy> gossip_link;
     std::unique_ptr<testing::Process> process;
+    std::uint64_t starts = 0;
     MonotonicTime disturbed_at{};  ///< Last kill, pause, resume or start.
+    /// End of the last fault of the link to the store.
+    MonotonicTime store_link_fault_until{};
     bool paused = false;
     bool stopping = false;
   };
@@ -66,7 +71,9 @@
     std::unique_ptr<emulator::UpstreamEmulator> server;
     std::unique_ptr<LoopbackProxy> link;
     double failure_share = 0;
-    bool registered = true;
+    UpstreamState state = UpstreamState::kReady;
+    /// End of the last fault of the link to it.
+    MonotonicTime link_fault_until{};
   };
   struct OpenRequest {
     std::size_t daemon = 0;
@@ -84,17 +91,33 @@
   void StartUpstream(std::size_t index);
   void StartDaemon(std::size_t index);
   void WriteSettings(const Daemon& daemon);
+  /// Publishes the keys that are in force.
   void WriteConfiguration();
-  void Register(const Upstream& upstream, bool draining);
+  /// Publishes a configuration from time to time, also after all faults.
+  void PublishNext();
+  /// Writes the newest configuration, unless the store is away.
+  void PutConfiguration();
+  /// Writes the registry entry of an upstream, unless the store is away.
+  void PutUpstream(const Upstream& upstream);
+  void Announce(std::size_t index, UpstreamState state);
   emulator::UpstreamEmulator::Response ChooseResponse(
       std::size_t upstream,
       const net::HttpRequest& request);
 
   void SendNext();
   void Send();
+  std::string DrawKey();
   void OnEnd(const std::string& id, const net::StreamEnd& end);
   void Monitor();
   bool WasDisturbed(const OpenRequest& open) const;
+  /// @return a name for the process of a daemon, which no later one has
+  std::string ProcessOf(const Daemon& daemon) const;
+  /// @return since when nothing has been injected that keeps a daemon from the
+  /// store; nothing during a fault
+  std::optional<MonotonicTime> UndisturbedSince(const Daemon& daemon) const;
+  /// Rejects all calls of the store until a matching `ResumeStore`.
+  void SuspendStore();
+  void ResumeStore();
   void CheckMemory(const Daemon& daemon);
 
   void InjectNextFault();
@@ -107,6 +130,8 @@
   void InjectGossipLinkFault();
   void StopStore();
   void CompactStore();
+  void RestoreStore();
+  void ReturnFromOlderCopy(std::chrono::milliseconds age);
   void FailUpstream();
   void DrainUpstream();
   void ReplaceKey();
@@ -132,11 +157,17 @@
   GuaranteeChecker m_checker;
   asio::steady_timer m_send_timer{m_loop};
   asio::steady_timer m_fault_timer{m_loop};
+  asio::steady_timer m_publish_timer{m_loop};
   asio::steady_timer m_monitor_timer{m_loop};
   std::vector<std::string> m_keys;  ///< Keys in force.
   std::uint64_t m_next_key = 0;
   std::uint64_t m_next_request = 0;
   std::uint64_t m_version = 0;
+  std::string m_configuration;     ///< The newest one.
+  std::size_t m_store_faults = 0;  ///< Faults for which the store is down.
+  /// During a drill: the store takes no writes.
+  bool m_store_away = false;
+  MonotonicTime m_store_back_at{};  ///< End of its last fault.
   MonotonicTime m_started_at{};
   std::size_t m_sample_sent = 0;
   std::size_t m_sample_served = 0;
--- a/packages/soak/src/guarantee_checker.cc
+++ b/packages/soak/src/guarantee_checker.cc
@@ -36,8 +36,10 @@
 void GuaranteeChecker::OnSent(const std::string& request,
                               RequestKind kind,
                               const std::string& key,
+                              const std::string& process,
                               MonotonicTime now) {
-  m_requests[request] = {kind, key, now, 0, {}, false};
+  m_requests[request] = {kind, key, process, m_in_force[process],
+                         now,  0,   {},      false};
   m_sent.push_back(now);
 }
 
@@ -53,10 +55,33 @@
   }
 }
 
+void GuaranteeChecker::OnForwarded(
+    const std::string& request,
+    const std::string& upstream,
+    std::optional<MonotonicTime> undisturbed_since,
+    MonotonicTime now) {
+  const auto left = m_leaving.find(upstream);
+  if (left == m_leaving.end()) {
+    return;
+  }
+  if (!undisturbed_since) {
+    ++m_counts["forwarded to a leaving upstream, disturbed"];
+    return;
+  }
+  const MonotonicTime known_at =
+      std::max(left->second, *undisturbed_since + m_options.contact_limit);
+  ++m_counts["forwarded to a leaving upstream"];
+  if (now > known_at + m_options.drain_limit + m_options.slack) {
+    AddViolation("an upstream that left received a request",
+                 request + " at " + upstream);
+  }
+}
+
 void GuaranteeChecker::OnRan(const std::string& request,
                              const std::string& signature,
                              const std::string& workspace,
-                             const std::string& authorization) {
+                             const std::string& authorization,
+                             const std::string& process) {
   const auto found = m_requests.find(request);
   if (found == m_requests.end()) {
     return;
@@ -80,10 +105,77 @@
   if (workspace != key->second.workspace) {
     AddViolation("an upstream received another workspace", request);
   }
+  CheckKey(request, known, process);
+}
+
+void GuaranteeChecker::CheckKey(const std::string& id,
+                                const Request& request,
+                                const std::string& process) {
+  const Key& key = m_keys.at(request.key);
+  const auto revoked_at =
+      key.removed_by == 0 ? std::nullopt : AcknowledgedAt(key.removed_by);
   const Duration limit = m_options.revoke_limit + m_options.slack;
-  if (key->second.revoked && known.sent_at > key->second.revoked_at + limit) {
-    AddViolation("a request ran with a revoked key", request);
+  if (revoked_at && request.sent_at > *revoked_at + limit) {
+    AddViolation("a request ran with a revoked key",
+                 id + " at " + request.process);
+  }
+  if (request.process != process) {
+    return;
+  }
+  if (key.removed_by != 0 && request.version_when_sent >= key.removed_by) {
+    AddViolation("a configuration reverted: a removed key was accepted",
+                 id + " at " + process);
+  }
+  OnInForce(process, key.added_by);
+}
+
+void GuaranteeChecker::OnKeyRefused(
+    const std::string& request,
+    const std::string& process,
+    std::optional<MonotonicTime> undisturbed_since) {
+  const Request& known = m_requests.at(request);
+  const auto found = m_keys.find(known.key);
+  if (found == m_keys.end()) {
+    return;
+  }
+  const Key& key = found->second;
+  const bool had_key =
+      known.process == process && known.version_when_sent >= key.added_by;
+  if (key.removed_by != 0) {
+    if (had_key) {
+      OnInForce(process, key.removed_by);
+    }
+    return;
+  }
+  if (had_key) {
+    AddViolation("a configuration reverted: an added key was refused",
+                 request + " at " + process);
+  }
+  const auto added_at = AcknowledgedAt(key.added_by);
+  if (!added_at || !undisturbed_since) {
+    ++m_counts["key not yet in force, disturbed"];
+    return;
   }
+  ++m_counts["key not yet in force"];
+  const MonotonicTime known_at =
+      std::max(*added_at, *undisturbed_since + m_options.contact_limit);
+  if (known.sent_at > known_at + m_options.apply_limit + m_options.slack) {
+    AddViolation("an acknowledged configuration is not in force",
+                 request + " at " + process);
+  }
+}
+
+std::optional<MonotonicTime> GuaranteeChecker::AcknowledgedAt(
+    std::uint64_t version) const {
+  const auto found = m_acknowledged.lower_bound(version);
+  return found == m_acknowledged.end() ? std::nullopt
+                                       : std::optional(found->second);
+}
+
+void GuaranteeChecker::OnInForce(const std::string& process,
+                                 std::uint64_t version) {
+  std::uint64_t& in_force = m_in_force[process];
+  in_force = std::max(in_force, version);
 }
 
 bool GuaranteeChecker::EventsInOrder(const CallerView& view) const {
@@ -152,14 +244,31 @@
   }
 }
 
-void GuaranteeChecker::OnKeyAdded(const std::string& key,
-                                  const std::string& workspace) {
-  m_keys[key] = {workspace, false, {}};
+void GuaranteeChecker::OnConfiguration(
+    std::uint64_t version,
+    const std::map<std::string, std::string>& keys) {
+  for (auto& [name, key] : m_keys) {
+    if (key.removed_by == 0 && !keys.contains(name)) {
+      key.removed_by = version;
+    }
+  }
+  for (const auto& [name, workspace] : keys) {
+    m_keys.try_emplace(name, Key{workspace, version, 0});
+  }
+}
+
+void GuaranteeChecker::OnAcknowledged(std::uint64_t version,
+                                      MonotonicTime now) {
+  m_acknowledged.try_emplace(version, now);
+}
+
+void GuaranteeChecker::OnUpstreamLeaving(const std::string& upstream,
+                                         MonotonicTime now) {
+  m_leaving.try_emplace(upstream, now);
 }
 
-void GuaranteeChecker::OnKeyRevoked(const std::string& key, MonotonicTime now) {
-  m_keys[key].revoked = true;
-  m_keys[key].revoked_at = now;
+void GuaranteeChecker::OnUpstreamReturned(const std::string& upstream) {
+  m_leaving.erase(upstream);
 }
 
 void GuaranteeChecker::OnExit(const std::string& daemon) {
--- a/packages/soak/src/soak_faults.cc
+++ b/packages/soak/src/soak_faults.cc
@@ -25,6 +25,7 @@
 }  // namespace
 
 std::span<const SoakRun::Fault> SoakRun::Faults() {
+  // A restored store affects the most, and is drawn twice as often.
   static constexpr Fault kFaults[] = {&SoakRun::KillDaemon,
                                       &SoakRun::StopDaemon,
                                       &SoakRun::PauseDaemon,
@@ -34,6 +35,8 @@
                                       &SoakRun::InjectGossipLinkFault,
                                       &SoakRun::StopStore,
                                       &SoakRun::CompactStore,
+                                      &SoakRun::RestoreStore,
+                                      &SoakRun::RestoreStore,
                                       &SoakRun::FailUpstream,
                                       &SoakRun::DrainUpstream,
                                       &SoakRun::ReplaceKey};
@@ -113,8 +116,12 @@
   const LinkFault fault = kLinkFaults[Draw(std::size(kLinkFaults))];
   Log("link to the store of " + m_daemons[index].name + ": fault " +
       std::to_string(static_cast<int>(fault)));
-  m_daemons[index].store_link->SetFault(fault);
-  After(DrawTime(300, 5000), [this, index] {
+  Daemon& daemon = m_daemons[index];
+  daemon.store_link->SetFault(fault);
+  const milliseconds duration = DrawTime(300, 5000);
+  daemon.store_link_fault_until =
+      std::max(daemon.store_link_fault_until, Now() + duration);
+  After(duration, [this, index] {
     m_daemons[index].store_link->SetFault(LinkFault::kNone);
   });
 }
@@ -124,8 +131,12 @@
   const LinkFault fault = kLinkFaults[Draw(std::size(kLinkFaults))];
   Log("link to " + m_upstreams[index].server->Id() + ": fault " +
       std::to_string(static_cast<int>(fault)));
-  m_upstreams[index].link->SetFault(fault);
-  After(DrawTime(300, 4000),
+  Upstream& upstream = m_upstreams[index];
+  upstream.link->SetFault(fault);
+  const milliseconds duration = DrawTime(300, 4000);
+  upstream.link_fault_until =
+      std::max(upstream.link_fault_until, Now() + duration);
+  After(duration,
         [this, index] { m_upstreams[index].link->SetFault(LinkFault::kNone); });
 }
 
@@ -142,8 +153,8 @@
 
 void SoakRun::StopStore() {
   Log("store down");
-  m_platform.SetDown(true);
-  After(DrawTime(300, 4000), [this] { m_platform.SetDown(false); });
+  SuspendStore();
+  After(DrawTime(300, 4000), [this] { ResumeStore(); });
 }
 
 void SoakRun::CompactStore() {
@@ -151,6 +162,42 @@
   m_platform.CompactAll();
 }
 
+void SoakRun::RestoreStore() {
+  if (m_store_away) {
+    return;
+  }
+  m_store_away = true;
+  const milliseconds away = DrawTime(0, 1000);
+  const milliseconds age = DrawTime(0, 5000);
+  const bool silent = Chance(0.3);
+  Log("store goes away for " + std::to_string(away.count()) +
+      " ms and comes back from a copy " + std::to_string(age.count()) +
+      " ms old" + (silent ? "; its reads in progress go silent" : ""));
+  if (silent) {
+    m_platform.SilencePendingReads();
+  }
+  SuspendStore();
+  After(away, [this, age, away] { ReturnFromOlderCopy(age + away); });
+}
+
+void SoakRun::ReturnFromOlderCopy(milliseconds age) {
+  m_platform.RestoreOlderCopyOfAll(age);
+  m_store_away = false;
+  ResumeStore();
+  Log("store back");
+  if (Chance(0.25)) {
+    CompactStore();
+  }
+  After(DrawTime(0, 1000), [this] { PutConfiguration(); });
+  // Each upstream at its next heartbeat.
+  for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+    After(DrawTime(0, 1000), [this, i] { PutUpstream(m_upstreams[i]); });
+  }
+  if (Chance(0.25)) {
+    After(DrawTime(0, 2500), [this] { RestoreStore(); });
+  }
+}
+
 void SoakRun::FailUpstream() {
   const std::size_t index = Draw(m_upstreams.size());
   Log("failures of " + m_upstreams[index].server->Id());
@@ -161,20 +208,15 @@
 
 void SoakRun::DrainUpstream() {
   const std::size_t index = Draw(m_upstreams.size());
-  Upstream& upstream = m_upstreams[index];
-  if (!upstream.registered) {
+  if (m_upstreams[index].state != UpstreamState::kReady) {
     return;
   }
-  Log(upstream.server->Id() + " leaves");
-  upstream.registered = false;
-  Register(upstream, true);
-  After(milliseconds(2500), [this, index] {
-    m_platform.PutUpstream(m_upstreams[index].server->Id(), "");
-  });
-  After(DrawTime(3000, 5000), [this, index] {
-    m_upstreams[index].registered = true;
-    Register(m_upstreams[index], false);
-  });
+  Log(m_upstreams[index].server->Id() + " leaves");
+  Announce(index, UpstreamState::kDraining);
+  After(milliseconds(2500),
+        [this, index] { Announce(index, UpstreamState::kRemoved); });
+  After(DrawTime(3000, 5000),
+        [this, index] { Announce(index, UpstreamState::kReady); });
 }
 
 void SoakRun::ReplaceKey() {
@@ -182,9 +224,7 @@
   const std::string old = m_keys[index];
   m_keys[index] = "key-" + std::to_string(m_next_key++);
   Log("key " + old + " replaced by " + m_keys[index]);
-  m_checker.OnKeyAdded(m_keys[index], "workspace-" + m_keys[index]);
   WriteConfiguration();
-  m_checker.OnKeyRevoked(old, Now());
 }
 
 void SoakRun::EndFaults() {
--- a/packages/soak/src/soak_run.cc
+++ b/packages/soak/src/soak_run.cc
@@ -26,12 +26,34 @@
 constexpr std::chrono::seconds kStopGrace{5};
 
 constexpr milliseconds kMonitorInterval{100};
+
+/// Mean rate of configurations in which only the key of the version changes;
+/// most are the newest for longer than the apply limit.
+constexpr double kVersionsPerSecond = 0.3;
+
+/// Interval between the copies of the store.
+constexpr milliseconds kCopyInterval{50};
+/// Age of the oldest copy that a fault may need, with a margin.
+constexpr milliseconds kCopyRetention{7000};
+
 constexpr std::size_t kStreamEvents = 5;
 
+/// Status of a request whose key the configuration in force does not have.
+constexpr int kUnknownKeyStatus = 401;
+
 /// Share of the requests that an upstream fails or rejects without an injected
 /// fault.
 constexpr double kBaseFailureShare = 0.01;
 
+std::string WorkspaceOf(const std::string& key) {
+  return "workspace-" + key;
+}
+
+/// @return a key that only one version of the configuration has
+std::string VersionKey(std::uint64_t version) {
+  return "version-" + std::to_string(version);
+}
+
 std::string EventText(std::size_t number) {
   return "id: " + std::to_string(number) + "\ndata: x\n\n";
 }
@@ -47,13 +69,13 @@
   m_started_at = Now();
   for (const char* key : {"key-a", "key-b"}) {
     m_keys.emplace_back(key);
-    m_checker.OnKeyAdded(key, "workspace-" + std::string(key));
   }
   WriteConfiguration();
   m_upstreams.resize(m_options.upstreams);
   for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
     StartUpstream(i);
   }
+  m_platform.KeepCopies(kCopyInterval, kCopyRetention);
   m_daemons.resize(m_options.daemons);
   for (std::size_t i = 0; i < m_daemons.size(); ++i) {
     Daemon& daemon = m_daemons[i];
@@ -71,6 +93,7 @@
   Monitor();
   After(std::chrono::seconds(2), [this] {
     SendNext();
+    PublishNext();
     InjectNextFault();
   });
   After(std::chrono::seconds(2) + m_options.fault_time,
@@ -89,11 +112,37 @@
       {"again", "idempotent", 3, false},
       {"stream", "streaming", 2, true}};
   std::vector<emulator::PlatformWorkspace> workspaces;
-  for (const std::string& key : m_keys) {
-    workspaces.push_back({"workspace-" + key, key});
+  std::map<std::string, std::string> workspace_by_key;
+  const auto add = [&](const std::string& key) {
+    workspaces.push_back({WorkspaceOf(key), key});
+    workspace_by_key.emplace(key, WorkspaceOf(key));
+  };
+  ++m_version;
+  std::for_each(m_keys.begin(), m_keys.end(), add);
+  add(VersionKey(m_version));
+  m_configuration =
+      emulator::PlatformConfiguration(m_version, kService, kRoutes, workspaces);
+  m_checker.OnConfiguration(m_version, workspace_by_key);
+  PutConfiguration();
+}
+
+void SoakRun::PublishNext() {
+  WriteConfiguration();
+  const double seconds =
+      std::exponential_distribution<double>(kVersionsPerSecond)(m_random);
+  m_publish_timer.expires_after(std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double>(seconds)));
+  m_publish_timer.async_wait(
+      [this](const asio::error_code&) { PublishNext(); });
+}
+
+void SoakRun::PutConfiguration() {
+  if (m_store_away) {
+    return;
   }
-  m_platform.PutConfiguration(emulator::PlatformConfiguration(
-      ++m_version, kService, kRoutes, workspaces));
+  Log("the operator writes version " + std::to_string(m_version));
+  m_platform.PutConfiguration(m_configuration);
+  m_checker.OnAcknowledged(m_version, Now());
 }
 
 void SoakRun::StartUpstream(std::size_t index) {
@@ -105,13 +154,32 @@
   });
   upstream.link =
       std::make_unique<LoopbackProxy>(m_loop, upstream.server->Address());
-  Register(upstream, false);
+  PutUpstream(upstream);
 }
 
-void SoakRun::Register(const Upstream& upstream, bool draining) {
+void SoakRun::PutUpstream(const Upstream& upstream) {
+  if (m_store_away) {
+    return;
+  }
+  const std::string& id = upstream.server->Id();
+  const bool draining = upstream.state == UpstreamState::kDraining;
   m_platform.PutUpstream(
-      upstream.server->Id(),
-      upstream.server->Entry(kService, draining, upstream.link->Address()));
+      id, upstream.state == UpstreamState::kRemoved
+              ? ""
+              : upstream.server->Entry(kService, draining,
+                                       upstream.link->Address()));
+  if (upstream.state != UpstreamState::kReady) {
+    m_checker.OnUpstreamLeaving(id, Now());
+  }
+}
+
+void SoakRun::Announce(std::size_t index, UpstreamState state) {
+  Upstream& upstream = m_upstreams[index];
+  upstream.state = state;
+  if (state == UpstreamState::kReady) {
+    m_checker.OnUpstreamReturned(upstream.server->Id());
+  }
+  PutUpstream(upstream);
 }
 
 UpstreamEmulator::Response SoakRun::ChooseResponse(
@@ -122,6 +190,24 @@
       emulator::ParseForwardedHeaders(request.headers);
   const std::string& id = headers.request;
   m_checker.OnArrived(id, Now());
+  std::string process;
+  const auto open = m_open.find(id);
+  if (open != m_open.end()) {
+    const Daemon& daemon = m_daemons[open->second.daemon];
+    process = ProcessOf(daemon);
+    // Faults of the link to the upstream may have held the request back.
+    const MonotonicTime link_fault_until =
+        m_upstreams[upstream].link_fault_until;
+    auto undisturbed_since = UndisturbedSince(daemon);
+    if (undisturbed_since && link_fault_until > *undisturbed_since) {
+      undisturbed_since = link_fault_until;
+    }
+    if (undisturbed_since && *undisturbed_since > Now()) {
+      undisturbed_since.reset();
+    }
+    m_checker.OnForwarded(id, m_upstreams[upstream].server->Id(),
+                          undisturbed_since, Now());
+  }
   Response response;
   if (Chance(m_upstreams[upstream].failure_share + kBaseFailureShare)) {
     constexpr Response::Kind kKinds[] = {
@@ -134,7 +220,7 @@
     return response;
   }
   m_checker.OnRan(id, "signature-of-" + m_upstreams[upstream].server->Id(),
-                  headers.workspace, headers.authorization);
+                  headers.workspace, headers.authorization, process);
   response.body = "answer to " + id;
   if (response.kind == Response::Kind::kRespond && response.status == 200 &&
       request.path.starts_with("/stream/")) {
@@ -172,6 +258,7 @@
       testing::Process::Start({m_options.bin_dir + "/jasminehatchd",
                                "--settings", daemon.settings_file},
                               m_options.work_dir + "/" + daemon.name + ".log");
+  ++daemon.starts;
   daemon.disturbed_at = Now();
   daemon.stopping = false;
   daemon.paused = false;
@@ -195,16 +282,15 @@
       RequestKind::kOnce, RequestKind::kIdempotent, RequestKind::kStream};
   const std::size_t kind = Draw(std::size(kPaths));
   const std::string id = "request-" + std::to_string(m_next_request++);
-  // Callers keep using a key for a while after it was revoked.
-  const bool old_key = m_next_key > 0 && Chance(0.1);
-  const std::string key =
-      old_key ? "key-" + std::to_string(Draw(m_next_key)) : m_keys[Draw(2)];
+  const std::string key = DrawKey();
   OpenRequest open;
   open.daemon = Draw(m_daemons.size());
   open.kind = kKinds[kind];
   open.sent_at = Now();
   open.overdue_at = open.sent_at + kDeadline + kOverdueAfter;
-  open.sample = m_sampling && !old_key;
+  open.sample = m_sampling &&
+                (key == VersionKey(m_version) ||
+                 std::find(m_keys.begin(), m_keys.end(), key) != m_keys.end());
   m_sample_sent += open.sample ? 1 : 0;
   net::StreamCall call;
   call.address = m_daemons[open.daemon].address;
@@ -212,7 +298,8 @@
   call.target = kPaths[kind];
   call.body = "body of " + id;
   call.headers = emulator::CallerHeaders(id, key, kDeadline);
-  m_checker.OnSent(id, open.kind, key, open.sent_at);
+  m_checker.OnSent(id, open.kind, key, ProcessOf(m_daemons[open.daemon]),
+                   open.sent_at);
   m_open.emplace(id, std::move(open));
   net::StreamClient::Callbacks callbacks;
   callbacks.on_head = [this, id](const net::StreamHead& head) {
@@ -232,6 +319,46 @@
   m_client.Start(std::move(call), std::move(callbacks));
 }
 
+/// Callers keep using keys for a while after they were revoked.
+std::string SoakRun::DrawKey() {
+  const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+  if (draw < 0.1 && m_next_key > 0) {
+    return "key-" + std::to_string(Draw(m_next_key));
+  }
+  if (draw < 0.2) {
+    const std::uint64_t oldest = m_version > 3 ? m_version - 3 : 1;
+    return VersionKey(oldest + Draw(m_version - oldest + 1));
+  }
+  if (draw < 0.4) {
+    return VersionKey(m_version);
+  }
+  return m_keys[Draw(m_keys.size())];
+}
+
+std::string SoakRun::ProcessOf(const Daemon& daemon) const {
+  return daemon.name + " start " + std::to_string(daemon.starts);
+}
+
+std::optional<MonotonicTime> SoakRun::UndisturbedSince(
+    const Daemon& daemon) const {
+  const MonotonicTime since = std::max(
+      {daemon.disturbed_at, daemon.store_link_fault_until, m_store_back_at});
+  const bool disturbed =
+      !daemon.process || daemon.paused || m_store_faults > 0 || since > Now();
+  return disturbed ? std::nullopt : std::optional(since);
+}
+
+void SoakRun::SuspendStore() {
+  ++m_store_faults;
+  m_platform.SetDown(true);
+}
+
+void SoakRun::ResumeStore() {
+  --m_store_faults;
+  m_platform.SetDown(m_store_faults > 0);
+  m_store_back_at = Now();
+}
+
 bool SoakRun::WasDisturbed(const OpenRequest& open) const {
   const Daemon& daemon = m_daemons[open.daemon];
   return daemon.paused || !daemon.process ||
@@ -257,6 +384,10 @@
   }
   m_sample_served +=
       open.sample && open.view.status == 200 && open.view.complete ? 1 : 0;
+  if (open.view.status == kUnknownKeyStatus) {
+    const Daemon& daemon = m_daemons[open.daemon];
+    m_checker.OnKeyRefused(id, ProcessOf(daemon), UndisturbedSince(daemon));
+  }
   m_checker.OnResponse(id, open.view);
 }
 
--- a/packages/soak/tests/guarantee_checker_test.cc
+++ b/packages/soak/tests/guarantee_checker_test.cc
@@ -4,7 +4,9 @@
 #include "jasminehatch/detail/soak/guarantee_checker.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
@@ -17,19 +19,21 @@
 namespace {
 
 constexpr MonotonicTime kStart{1h};
+constexpr char kProcess[] = "entry-0 start 1";
 
 /// @brief A checker that knows one key and one request of each kind.
 struct Fixture {
   Fixture() : checker({}) {
-    checker.OnKeyAdded("key", "w");
-    checker.OnSent("once", RequestKind::kOnce, "key", kStart);
-    checker.OnSent("again", RequestKind::kIdempotent, "key", kStart);
-    checker.OnSent("stream", RequestKind::kStream, "key", kStart);
+    checker.OnConfiguration(1, {{"key", "w"}});
+    checker.OnAcknowledged(1, kStart);
+    checker.OnSent("once", RequestKind::kOnce, "key", kProcess, kStart);
+    checker.OnSent("again", RequestKind::kIdempotent, "key", kProcess, kStart);
+    checker.OnSent("stream", RequestKind::kStream, "key", kProcess, kStart);
   }
 
   void Run(const std::string& id, const std::string& signature = "s") {
     checker.OnArrived(id, kStart);
-    checker.OnRan(id, signature, "w", "");
+    checker.OnRan(id, signature, "w", "", kProcess);
   }
 
   bool HasOnlyViolation(const std::string& text) const {
@@ -63,7 +67,8 @@
   fixture.checker.OnResponse("stream", {200, "s", Events(1, 5), true});
   fixture.checker.OnNoResponse("again", true, false);
   // A request that was sent while a stopping daemon closed the connection.
-  fixture.checker.OnSent("crossed", RequestKind::kOnce, "key", kStart);
+  fixture.checker.OnSent("crossed", RequestKind::kOnce, "key", kProcess,
+                         kStart);
   fixture.checker.OnNoResponse("crossed", false, true);
   fixture.checker.OnRecovered(10, 10);
   fixture.checker.Finish();
@@ -111,18 +116,121 @@
 
 TEST(GuaranteeChecker, ReportsUseOfARevokedKey) {
   Fixture fixture;
-  fixture.checker.OnKeyRevoked("key", kStart);
-  fixture.checker.OnSent("late", RequestKind::kOnce, "key", kStart + 5s);
-  fixture.checker.OnRan("late", "s", "w", "");
+  fixture.checker.OnConfiguration(2, {});
+  fixture.checker.OnAcknowledged(2, kStart);
+  fixture.checker.OnSent("late", RequestKind::kOnce, "key", kProcess,
+                         kStart + 5s);
+  fixture.checker.OnRan("late", "s", "w", "", kProcess);
   CHECK(fixture.HasOnlyViolation("with a revoked key"));
 }
 
+// Guards against a drill after which an acknowledgement is forgotten: the
+// operator writes its newest configuration again, and that must not extend the
+// time for which a revoked key may be used.
+TEST(GuaranteeChecker,
+     ReportsUseOfARevokedKeyAfterItsConfigurationWasRewritten) {
+  Fixture fixture;
+  fixture.checker.OnConfiguration(2, {});
+  fixture.checker.OnAcknowledged(2, kStart);
+  fixture.checker.OnAcknowledged(2, kStart + 4s);
+  fixture.checker.OnSent("late", RequestKind::kOnce, "key", kProcess,
+                         kStart + 5s);
+  fixture.checker.OnRan("late", "s", "w", "", "entry-0 start 2");
+  CHECK(fixture.HasOnlyViolation("with a revoked key"));
+}
+
+TEST(GuaranteeChecker, ReportsAConfigurationThatIsNotInForce) {
+  for (const auto& [sent_after, is_late] :
+       {std::pair{5s, false}, std::pair{6s, true}}) {
+    Fixture fixture;
+    fixture.checker.OnConfiguration(2, {{"key", "w"}, {"added", "w"}});
+    fixture.checker.OnAcknowledged(2, kStart);
+    fixture.checker.OnSent("late", RequestKind::kOnce, "added", kProcess,
+                           kStart + sent_after);
+    fixture.checker.OnKeyRefused("late", kProcess, std::nullopt);
+    CHECK(fixture.checker.Violations().empty());
+    fixture.checker.OnKeyRefused("late", kProcess, kStart);
+    CHECK(fixture.checker.Violations().empty() != is_late);
+    CHECK(!is_late || fixture.HasOnlyViolation("not in force"));
+  }
+}
+
+// A key that a configuration has removed, and one that no acknowledged
+// configuration has, may be refused.
+TEST(GuaranteeChecker, AcceptsTheRefusalOfKeysThatNeedNotBeInForce) {
+  Fixture fixture;
+  fixture.checker.OnConfiguration(2, {{"added", "w"}});
+  fixture.checker.OnSent("late", RequestKind::kOnce, "key", kProcess,
+                         kStart + 1h);
+  fixture.checker.OnSent("early", RequestKind::kOnce, "added", kProcess,
+                         kStart + 1h);
+  fixture.checker.OnKeyRefused("late", kProcess, kStart);
+  fixture.checker.OnKeyRefused("early", kProcess, kStart);
+  CHECK(fixture.checker.Violations().empty());
+}
+
+TEST(GuaranteeChecker, ReportsAConfigurationThatReverts) {
+  Fixture refused;
+  refused.checker.OnConfiguration(2, {{"key", "w"}, {"added", "w"}});
+  refused.checker.OnSent("before", RequestKind::kOnce, "added", kProcess,
+                         kStart);
+  refused.checker.OnRan("before", "s", "w", "", kProcess);
+  refused.checker.OnSent("after", RequestKind::kOnce, "added", kProcess,
+                         kStart);
+  refused.checker.OnKeyRefused("after", kProcess, std::nullopt);
+  CHECK(refused.HasOnlyViolation("an added key was refused"));
+  Fixture accepted;
+  accepted.checker.OnConfiguration(2, {{"added", "w"}});
+  accepted.checker.OnSent("before", RequestKind::kOnce, "added", kProcess,
+                          kStart);
+  accepted.checker.OnRan("before", "s", "w", "", kProcess);
+  accepted.checker.OnSent("after", RequestKind::kOnce, "key", kProcess, kStart);
+  accepted.checker.OnRan("after", "s", "w", "", kProcess);
+  CHECK(accepted.HasOnlyViolation("a removed key was accepted"));
+}
+
+// Another process may have the older configuration, and a request that crossed
+// the change may have been authorized before it.
+TEST(GuaranteeChecker, AcceptsOlderConfigurationsOfOtherProcesses) {
+  Fixture fixture;
+  fixture.checker.OnConfiguration(2, {{"added", "w"}});
+  fixture.checker.OnSent("added", RequestKind::kOnce, "added", kProcess,
+                         kStart);
+  fixture.checker.OnSent("crossing", RequestKind::kOnce, "key", kProcess,
+                         kStart);
+  fixture.checker.OnRan("added", "s", "w", "", kProcess);
+  fixture.checker.OnRan("crossing", "s", "w", "", kProcess);
+  fixture.checker.OnSent("other", RequestKind::kOnce, "key", "entry-0 start 2",
+                         kStart);
+  fixture.checker.OnRan("other", "s", "w", "", "entry-0 start 2");
+  fixture.checker.OnSent("moved", RequestKind::kIdempotent, "key", kProcess,
+                         kStart);
+  fixture.checker.OnRan("moved", "s", "w", "", "entry-0 start 2");
+  CHECK(fixture.checker.Violations().empty());
+}
+
+TEST(GuaranteeChecker, ReportsRequestsToUpstreamsThatLeft) {
+  Fixture fixture;
+  fixture.checker.OnUpstreamLeaving("upstream-0", kStart);
+  fixture.checker.OnUpstreamLeaving("upstream-0", kStart + 3s);
+  fixture.checker.OnForwarded("once", "upstream-0", kStart - 1h, kStart + 2s);
+  fixture.checker.OnForwarded("once", "upstream-0", kStart, kStart + 5s);
+  fixture.checker.OnForwarded("once", "upstream-0", std::nullopt, kStart + 9s);
+  fixture.checker.OnForwarded("once", "upstream-1", kStart, kStart + 9s);
+  CHECK(fixture.checker.Violations().empty());
+  fixture.checker.OnForwarded("once", "upstream-0", kStart - 1h, kStart + 3s);
+  CHECK(fixture.HasOnlyViolation("upstream that left"));
+  fixture.checker.OnUpstreamReturned("upstream-0");
+  fixture.checker.OnForwarded("once", "upstream-0", kStart, kStart + 9s);
+  CHECK(fixture.HasOnlyViolation("upstream that left"));
+}
+
 TEST(GuaranteeChecker, ReportsAForgedWorkspaceAndAForwardedKey) {
   Fixture workspace;
-  workspace.checker.OnRan("once", "s", "forged", "");
+  workspace.checker.OnRan("once", "s", "forged", "", kProcess);
   CHECK(workspace.HasOnlyViolation("another workspace"));
   Fixture key;
-  key.checker.OnRan("once", "s", "w", "Token key");
+  key.checker.OnRan("once", "s", "w", "Token key", kProcess);
   CHECK(key.HasOnlyViolation("received the caller's key"));
 }
 
