Stop using upstreams that drain in an older copy of the registry

Cause: the daemon had not read since before the store was restored, and the upstream began to drain meanwhile. A process that drains does not become ready again, so draining is taken from the copy, too.

RestoredRegistry.AProcessThatDrainsInTheCopyIsNotUsed fails on the code before.

--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_directory.h
@@ -44,8 +44,9 @@
   /// Replaces all entries; removes upstreams without one.
   void ReplaceAll(std::span<const UpstreamEntry> entries, MonotonicTime now);
 
-  /// Adds the processes of which nothing is known. An older copy tells nothing
-  /// new of the others: they may have begun to drain, or left, after it.
+  /// Adds the processes of which nothing is known, and no longer uses known
+  /// ones that drain in the copy. It tells nothing else of known ones: they may
+  /// have begun to drain, or left, after it.
   void AddFromOlderCopy(std::span<const UpstreamEntry> entries,
                         MonotonicTime now);
 
--- a/packages/core/src/forwarding/upstream_directory.cc
+++ b/packages/core/src/forwarding/upstream_directory.cc
@@ -125,7 +125,11 @@
 void UpstreamDirectory::AddFromOlderCopy(std::span<const UpstreamEntry> entries,
                                          MonotonicTime now) {
   for (const UpstreamEntry& entry : entries) {
-    const Upstream* known = Find(entry.id);
+    Upstream* known = Find(entry.id);
+    if (known != nullptr && entry.started_at == known->entry.started_at) {
+      // A process that drains does not become ready again.
+      known->entry.draining = known->entry.draining || entry.draining;
+    }
     const bool is_outdated =
         known != nullptr
             ? entry.started_at <= known->entry.started_at
--- a/packages/core/tests/restored_registry_test.cc
+++ b/packages/core/tests/restored_registry_test.cc
@@ -68,6 +68,17 @@
   CHECK(!fixture.IsUsed("u2"));
 }
 
+// Guards against requests to an upstream that began to drain while this daemon
+// could not read: no process that drains becomes ready again.
+TEST(RestoredRegistry, AProcessThatDrainsInTheCopyIsNotUsed) {
+  RegistryFixture fixture;
+  UpstreamEntry draining = fixture.Entry("u2");
+  draining.draining = true;
+  fixture.ReadOlderCopy({fixture.Entry("u1"), draining});
+  CHECK(!fixture.IsUsed("u2"));
+  CHECK(fixture.IsUsed("u1"));
+}
+
 // Guards against losing the upstreams that registered after the copy was made.
 TEST(RestoredRegistry, ProcessesThatTheCopyLacksStayInUse) {
   RegistryFixture fixture;
