Aim the drills of the soak test at offsets that daemons have read

Cause: the soak rarely found the fault that mended.

The operator now writes as many records as the store has lost, often before the first read.

--- a/packages/soak/src/soak_faults.cc
+++ b/packages/soak/src/soak_faults.cc
@@ -1,5 +1,6 @@
 // The faults that a soak run draws from.
 
+#include <algorithm>
 #include <csignal>
 
 #include "jasminehatch/detail/soak/soak_run.h"
@@ -18,6 +19,8 @@
 /// Period in which the requests that have to be served are sent.
 constexpr std::chrono::seconds kSampleTime{3};
 
+constexpr char kOperatorTopic[] = "keyed.op";
+
 constexpr LinkFault kLinkFaults[] = {
     LinkFault::kDelay,       LinkFault::kReset,       LinkFault::kSilent,
     LinkFault::kCutToServer, LinkFault::kCutToClient, LinkFault::kEndless};
@@ -181,6 +184,7 @@
 }
 
 void SoakRun::ReturnFromOlderCopy(milliseconds age) {
+  const std::uint64_t end_before = m_platform.End(kOperatorTopic);
   m_platform.RestoreOlderCopyOfAll(age);
   m_store_away = false;
   ResumeStore();
@@ -188,7 +192,26 @@
   if (Chance(0.25)) {
     CompactStore();
   }
-  After(DrawTime(0, 1000), [this] { PutConfiguration(); });
+  // With as many writes as the store has lost, the offsets that daemons have
+  // read are given out again before their next reads, which succeed.
+  const std::uint64_t end = m_platform.End(kOperatorTopic);
+  const std::uint64_t lost = end_before - std::min(end, end_before);
+  const std::uint64_t writes = Chance(0.7) ? lost : 0;
+  // A version that was made meanwhile supersedes the one that was lost.
+  const bool superseded = writes > 0 && Chance(0.5);
+  const auto rewrite = [this, writes, superseded] {
+    if (!superseded) {
+      PutConfiguration();
+    }
+    for (std::uint64_t i = superseded ? 0 : 1; i < writes; ++i) {
+      WriteConfiguration();
+    }
+  };
+  if (Chance(0.5)) {
+    rewrite();
+  } else {
+    After(DrawTime(0, 1000), rewrite);
+  }
   // Each upstream at its next heartbeat.
   for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
     After(DrawTime(0, 1000), [this, i] { PutUpstream(m_upstreams[i]); });
--- a/packages/soak/src/soak_run.cc
+++ b/packages/soak/src/soak_run.cc
@@ -29,7 +29,7 @@
 
 /// Mean rate of configurations in which only the key of the version changes;
 /// most are the newest for longer than the apply limit.
-constexpr double kVersionsPerSecond = 0.3;
+constexpr double kVersionsPerSecond = 0.2;
 
 /// Interval between the copies of the store.
 constexpr milliseconds kCopyInterval{50};
