Confirm no configuration that is older than a peer's

Cause: the store had come back without the configuration that revoked the key, the operator had not written it again yet, and a daemon that had never read it took the end of the copy for a proof that nothing newer exists.

Daemons tell each other the version of their configuration. One that is behind a peer confirms nothing, and drops its proofs if it has just started, so that it answers 503 to requests with a key until it has read what the peer has. ForwardingStep.RefusesKeysWhilePeersHaveANewerConfiguration tests it.

--- a/packages/codec/include/jasminehatch/detail/json/gossip_message.h
+++ b/packages/codec/include/jasminehatch/detail/json/gossip_message.h
@@ -74,6 +74,8 @@
   /// `ip:port` at which the sender accepts forwarded requests; empty if it does
   /// not, or if it cannot reach any upstream.
   std::string forwarding_address;
+  /// Version of the sender's configuration; 0 for none.
+  std::uint64_t configuration_version = 0;
 
   /// @return the message as MessagePack
   std::string Encode() const;
--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -35,6 +35,7 @@
 constexpr std::size_t kOperatorEpochIndex = 20;
 constexpr std::size_t kEchoIncarnationIndex = 21;
 constexpr std::size_t kForwardingAddressIndex = 22;
+constexpr std::size_t kConfigurationVersionIndex = 23;
 
 /// A crash report without prompt parts has this number of elements; later
 /// daemons append the parts, which earlier ones ignore.
@@ -241,7 +242,8 @@
        EncodeStreamOrigins(stream_origins),
        operator_end.epoch,
        echo_incarnation,
-       forwarding_address});
+       forwarding_address,
+       configuration_version});
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
@@ -312,6 +314,10 @@
       decoded.forwarding_address =
           message.at(kForwardingAddressIndex).get<std::string>();
     }
+    if (message.size() > kConfigurationVersionIndex) {
+      decoded.configuration_version =
+          ReadInteger<std::uint64_t>(message.at(kConfigurationVersionIndex));
+    }
     return decoded;
   } catch (const json::exception& error) {
     throw CodecError(236, std::string("not a gossip message: ") + error.what());
--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -108,6 +108,7 @@
   message.operator_end = {30, 9};
   message.echo_incarnation = 31;
   message.forwarding_address = "10.0.0.1:7701";
+  message.configuration_version = 32;
   message.freshness_proof_age_ms = 10;
   message.loads = {{11, 12, 13}};
   message.weights_updates = {{"u", "m", 14, true}};
@@ -131,6 +132,7 @@
   CHECK((LogPosition{30, 9}) == decoded.operator_end);
   UNSIGNED_LONGS_EQUAL(31, decoded.echo_incarnation);
   STRCMP_EQUAL("10.0.0.1:7701", decoded.forwarding_address.c_str());
+  UNSIGNED_LONGS_EQUAL(32, decoded.configuration_version);
   UNSIGNED_LONGS_EQUAL(10, *decoded.freshness_proof_age_ms);
   UNSIGNED_LONGS_EQUAL(13, decoded.loads.at(0).tokens);
   UNSIGNED_LONGS_EQUAL(14, decoded.weights_updates.at(0).version);
@@ -156,6 +158,9 @@
     nlohmann::json::to_msgpack(encoded, bytes);
     return GossipMessage::Decode(bytes);
   };
+  const auto without_version = decode_without_last();
+  UNSIGNED_LONGS_EQUAL(0, without_version.configuration_version);
+  CHECK(without_version.forwarding_address == message.forwarding_address);
   const auto without_forwarding = decode_without_last();
   CHECK(without_forwarding.forwarding_address.empty());
   CHECK(without_forwarding.operator_end == message.operator_end);
@@ -233,7 +238,7 @@
        {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
         nlohmann::json("1")}) {
     const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(32, variants.size());
+    UNSIGNED_LONGS_EQUAL(33, variants.size());
     for (const nlohmann::json& variant : variants) {
       std::string encoded;
       nlohmann::json::to_msgpack(variant, encoded);
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -39,6 +39,11 @@
   LogPosition end;
 };
 
+/// A peer has a configuration with this version; 0 if it has none.
+struct PeerConfigurationHeard {
+  std::uint64_t version = 0;
+};
+
 /// @brief An upstream's entry in the registry.
 struct UpstreamEntry {
   std::string id;
@@ -316,6 +321,7 @@
                            CallerDisconnected,
                            ResponseStarted,
                            UpstreamConnected,
+                           PeerConfigurationHeard,
                            LoadObserved,
                            WeightsObserved,
                            UpstreamLeaving,
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -48,6 +48,9 @@
   /// configuration was sent.
   std::optional<MonotonicTime> confirmed_at;
   ConfigurationLag lag;
+  /// Highest version of a configuration that a peer was heard to have.
+  std::uint64_t peer_configuration_version = 0;
+  std::optional<MonotonicTime> first_confirmed_at;
   std::optional<StopRequested> stop;  ///< Set while the daemon stops.
   UpstreamDirectory upstreams;
   RegistryKnowledge registry;
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -41,17 +41,8 @@
   Reducer(State& state, MonotonicTime now) : m_state(state), m_now(now) {}
 
   void Apply(const ConfigurationRead& event);
-  void Apply(const ConfigurationConfirmed& event) {
-    // A proof of the future, as after a change of the clock, proves nothing.
-    if (event.sent_at > m_now) {
-      return;
-    }
-    if (!m_state.confirmed_at || event.sent_at > *m_state.confirmed_at) {
-      m_state.confirmed_at = event.sent_at;
-    }
-    m_state.cache_use.OnConfirmed(event.sent_at);
-    m_state.lag.OnConfirmed(event.end, event.sent_at);
-  }
+  void Apply(const ConfigurationConfirmed& event);
+  void Apply(const PeerConfigurationHeard& event);
   void Apply(const UpstreamRegistered& event) {
     m_state.upstreams.Register(event.entry, m_now);
     ReportIfCold(event.entry.id);
@@ -159,6 +150,11 @@
     const auto found = m_state.requests.find(id);
     return found == m_state.requests.end() ? nullptr : &found->second;
   }
+  /// @return whether a peer has a newer configuration than this daemon
+  bool HasOlderConfigurationThanPeers() const {
+    return m_state.table && m_state.table->SourceConfiguration().version <
+                                m_state.peer_configuration_version;
+  }
   bool ConfigurationIsCurrent() const {
     return m_state.table && m_state.confirmed_at &&
            m_now - *m_state.confirmed_at <= m_state.options.max_proof_age;
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -20,6 +20,10 @@
 /// takes precedence.
 constexpr std::chrono::seconds kDefaultTimeout{60};
 
+/// Time after its first proof for which a daemon drops its proofs when a peer
+/// has a newer configuration.
+constexpr std::chrono::seconds kStartTime{5};
+
 /// Responses are typically shorter than their maximum by this factor.
 constexpr std::uint32_t kExpectedOutputDivisor = 3;
 
@@ -59,6 +63,32 @@
   ReportColdUpstreams();
 }
 
+void Reducer::Apply(const ConfigurationConfirmed& event) {
+  // A proof of the future, as after a change of the clock, proves nothing. Nor
+  // does a store that came back without a configuration that a peer has read.
+  if (event.sent_at > m_now || HasOlderConfigurationThanPeers()) {
+    return;
+  }
+  if (!m_state.confirmed_at || event.sent_at > *m_state.confirmed_at) {
+    m_state.confirmed_at = event.sent_at;
+  }
+  m_state.first_confirmed_at = m_state.first_confirmed_at.value_or(m_now);
+  m_state.cache_use.OnConfirmed(event.sent_at);
+  m_state.lag.OnConfirmed(event.end, event.sent_at);
+}
+
+void Reducer::Apply(const PeerConfigurationHeard& event) {
+  m_state.peer_configuration_version =
+      std::max(m_state.peer_configuration_version, event.version);
+  // A daemon that has just started may have read an older copy of the store
+  // before it heard of any peer.
+  if (m_state.first_confirmed_at &&
+      m_now - *m_state.first_confirmed_at < kStartTime &&
+      HasOlderConfigurationThanPeers()) {
+    m_state.confirmed_at.reset();
+  }
+}
+
 void Reducer::Apply(const RequestReceived& event) {
   auto [entry, inserted] =
       m_state.requests.try_emplace(event.request, Request{});
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -10,6 +10,7 @@
 #include <CppUTest/TestHarness.h>
 
 using jasminehatch::AttemptId;
+using jasminehatch::Duration;
 using jasminehatch::MonotonicTime;
 using jasminehatch::RefusalCode;
 using jasminehatch::RequestId;
@@ -65,6 +66,31 @@
            OnlyRefusal(fixture.Send("/once/"))));
 }
 
+// Guards against a revoked key that is accepted because the store came back
+// without the configuration that revoked it, which a peer has read: for good,
+// and at a daemon that has just started.
+TEST(ForwardingStep, RefusesKeysWhilePeersHaveANewerConfiguration) {
+  for (const Duration age : {Duration(0s), Duration(10s)}) {
+    ForwardingFixture fixture;
+    fixture.AddUpstream("u1", "desk");
+    fixture.Wait(age);
+    fixture.Confirm();
+    OnlyStart(fixture.Send("/once/"));
+    fixture.Apply(PeerConfigurationHeard{1000});
+    if (age == 0s) {
+      CHECK(Is(RefusalCode::kConfigurationStale,
+               OnlyRefusal(fixture.Send("/once/"))));
+    }
+    fixture.Wait(fixture.CurrentState().options.max_proof_age + 1ms);
+    fixture.Confirm();
+    CHECK(Is(RefusalCode::kConfigurationStale,
+             OnlyRefusal(fixture.Send("/once/"))));
+    fixture.Apply(ConfigurationRead{fixture.MakeConfiguration(1000)});
+    fixture.Confirm();
+    OnlyStart(fixture.Send("/once/"));
+  }
+}
+
 // Guards against 404 and 401 responses based on an outdated configuration.
 TEST(ForwardingStep, RefusesOnlyWithACurrentConfiguration) {
   ForwardingFixture fixture;
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -343,6 +343,8 @@
                     milliseconds(*message.freshness_proof_age_ms);
     m_on_peer_proof({message.operator_end, at});
   }
+  m_host.Apply(
+      forwarding::PeerConfigurationHeard{message.configuration_version});
   m_host.Apply(forwarding::PeerHeard{message.daemon, message.zone,
                                      message.stopping,
                                      message.forwarding_address});
@@ -501,6 +503,9 @@
   message.incarnation = m_options.incarnation;
   message.capacity = m_options.capacity;
   message.stopping = m_stop_announced;
+  if (const auto& table = m_host.State().table) {
+    message.configuration_version = table->SourceConfiguration().version;
+  }
   if (!m_host.State().reachability.IsCut()) {
     message.forwarding_address = m_options.forwarding_address;
   }
