Bound what a restored registry and a peer's version may do

An earlier process of an upstream that left came back from an older copy, since only the latest one was compared for equality; now any process up to the latest that was removed is outdated (RestoredRegistry.AnEarlierProcessIsNotUsedAgain). Finding a process took time linear in all that left, on each renewal; it is a map now. And if the only daemon that had read a configuration was gone, its peers confirmed nothing any more; a peer's version counts for 10 s after it was heard.

--- a/packages/core/include/jasminehatch/detail/forwarding/removed_processes.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/removed_processes.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <unordered_map>
 
 namespace jasminehatch::forwarding {
 
@@ -15,28 +16,18 @@
  public:
   static constexpr std::size_t kMaxProcesses = 4096;
 
-  void Add(const std::string& id, std::uint64_t started_at) {
-    if (m_processes.size() == kMaxProcesses) {
-      m_processes.pop_front();
-    }
-    m_processes.push_back({id, started_at});
-  }
+  void Add(const std::string& id, std::uint64_t started_at);
 
   /// Forgets the processes of an id, since it has an entry again.
-  void OnRegistered(const std::string& id) {
-    std::erase_if(m_processes,
-                  [&](const Process& process) { return process.id == id; });
-  }
+  void OnRegistered(const std::string& id) { m_started_at.erase(id); }
 
+  /// @return whether this process of the id, or a later one, was removed
   bool Contains(const std::string& id, std::uint64_t started_at) const;
 
  private:
-  struct Process {
-    std::string id;
-    std::uint64_t started_at = 0;
-  };
-
-  std::deque<Process> m_processes;  ///< Oldest first.
+  /// Start of the latest process by id.
+  std::unordered_map<std::string, std::uint64_t> m_started_at;
+  std::deque<std::string> m_ids;  ///< Oldest first; may be registered again.
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -50,6 +50,7 @@
   ConfigurationLag lag;
   /// Highest version of a configuration that a peer was heard to have.
   std::uint64_t peer_configuration_version = 0;
+  MonotonicTime peer_configuration_heard_at{};  ///< Latest time of that.
   std::optional<MonotonicTime> first_confirmed_at;
   std::optional<StopRequested> stop;  ///< Set while the daemon stops.
   UpstreamDirectory upstreams;
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -19,6 +19,11 @@
 /// Minimum remaining time for starting an attempt.
 inline constexpr std::chrono::milliseconds kMinAttemptTime{20};
 
+/// Time after a message for which a peer's configuration counts. By then, the
+/// operators have written again what a restored store lost, and a daemon whose
+/// peers are gone must not wait for them.
+inline constexpr std::chrono::seconds kPeerConfigurationTime{10};
+
 /// @return the duration in whole milliseconds, for logs
 std::string Milliseconds(Duration duration);
 
@@ -152,8 +157,11 @@
   }
   /// @return whether a peer has a newer configuration than this daemon
   bool HasOlderConfigurationThanPeers() const {
-    return m_state.table && m_state.table->SourceConfiguration().version <
-                                m_state.peer_configuration_version;
+    return m_state.table &&
+           m_state.table->SourceConfiguration().version <
+               m_state.peer_configuration_version &&
+           m_now - m_state.peer_configuration_heard_at <=
+               kPeerConfigurationTime;
   }
   bool ConfigurationIsCurrent() const {
     return m_state.table && m_state.confirmed_at &&
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -78,8 +78,10 @@
 }
 
 void Reducer::Apply(const PeerConfigurationHeard& event) {
-  m_state.peer_configuration_version =
-      std::max(m_state.peer_configuration_version, event.version);
+  if (event.version >= m_state.peer_configuration_version) {
+    m_state.peer_configuration_version = event.version;
+    m_state.peer_configuration_heard_at = m_now;
+  }
   // A daemon that has just started may have read an older copy of the store
   // before it heard of any peer.
   if (m_state.first_confirmed_at &&
--- a/packages/core/tests/restored_registry_test.cc
+++ b/packages/core/tests/restored_registry_test.cc
@@ -56,6 +56,19 @@
   CHECK(fixture.IsUsed("u2"));
 }
 
+// Guards against an earlier process of an upstream that left, which the copy
+// still has.
+TEST(RestoredRegistry, AnEarlierProcessIsNotUsedAgain) {
+  RegistryFixture fixture;
+  const UpstreamEntry earlier = fixture.Entry("u2");
+  UpstreamEntry later = earlier;
+  ++later.started_at;
+  fixture.Apply(UpstreamRegistered{later});
+  fixture.Apply(UpstreamRemoved{"u2"});
+  fixture.ReadOlderCopy({earlier, later});
+  CHECK(!fixture.IsUsed("u2"));
+}
+
 // Guards against requests to an upstream that has begun to drain after the copy
 // was made.
 TEST(RestoredRegistry, ADrainingProcessIsNotUsedAgain) {
