--- a/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
+++ b/packages/emulator/include/jasminehatch/detail/emulator/platform_emulator.h
@@ -86,6 +86,9 @@
   /// @return the offset after the newest record of a topic
   std::uint64_t End(const std::string& topic) const;
 
+  /// @return the offset after the newest record of the operators
+  std::uint64_t OperatorEnd() const;
+
   /// @return how often records of a topic were read from an offset on
   std::uint64_t ReadCount(const std::string& topic) const;
 
--- a/packages/emulator/src/platform_emulator.cc
+++ b/packages/emulator/src/platform_emulator.cc
@@ -217,6 +217,10 @@
   return found != m_topics.end() ? found->second.End() : 0;
 }
 
+std::uint64_t PlatformEmulator::OperatorEnd() const {
+  return End(kOperatorTopic);
+}
+
 std::uint64_t PlatformEmulator::ReadCount(const std::string& topic) const {
   const auto found = m_topics.find(topic);
   return found != m_topics.end() ? found->second.reads : 0;
--- a/packages/soak/src/soak_faults.cc
+++ b/packages/soak/src/soak_faults.cc
@@ -19,8 +19,6 @@
 /// Period in which the requests that have to be served are sent.
 constexpr std::chrono::seconds kSampleTime{3};
 
-constexpr char kOperatorTopic[] = "keyed.op";
-
 constexpr LinkFault kLinkFaults[] = {
     LinkFault::kDelay,       LinkFault::kReset,       LinkFault::kSilent,
     LinkFault::kCutToServer, LinkFault::kCutToClient, LinkFault::kEndless};
@@ -184,7 +182,7 @@
 }
 
 void SoakRun::ReturnFromOlderCopy(milliseconds age) {
-  const std::uint64_t end_before = m_platform.End(kOperatorTopic);
+  const std::uint64_t end_before = m_platform.OperatorEnd();
   m_platform.RestoreOlderCopyOfAll(age);
   m_store_away = false;
   ResumeStore();
@@ -194,7 +192,7 @@
   }
   // With as many writes as the store has lost, the offsets that daemons have
   // read are given out again before their next reads, which succeed.
-  const std::uint64_t end = m_platform.End(kOperatorTopic);
+  const std::uint64_t end = m_platform.OperatorEnd();
   const std::uint64_t lost = end_before - std::min(end, end_before);
   const std::uint64_t writes = Chance(0.7) ? lost : 0;
   // A version that was made meanwhile supersedes the one that was lost.
