--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -171,8 +171,10 @@
   AttemptId attempt;
 };
 
-/// An upstream answered on a connection that was opened for the request.
-struct UpstreamConnected {};
+/// An upstream answered on a connection that was opened after `opened_after`.
+struct UpstreamConnected {
+  MonotonicTime opened_after{};
+};
 
 /// An upstream reported its load with a response.
 struct LoadObserved {
--- a/packages/core/include/jasminehatch/detail/forwarding/failure_reports.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/failure_reports.h
@@ -32,9 +32,6 @@
 
   /// Adds a failure; replaces earlier reports that it supersedes.
   /// @param forwarded whether another daemon reported it
-  /// Drops all reports that are still to be sent.
-  void Clear() { m_pending.clear(); }
-
   void Add(const Upstream& upstream,
            UpstreamFailure failure,
            MonotonicTime observed_at,
@@ -47,6 +44,9 @@
       const UpstreamDirectory& upstreams,
       MonotonicTime now) const;
 
+  /// Drops all reports that are still to be sent.
+  void Clear() { m_pending.clear(); }
+
  private:
   struct Pending {
     std::string upstream;
--- a/packages/core/include/jasminehatch/detail/forwarding/forwarding_peers.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/forwarding_peers.h
@@ -24,6 +24,9 @@
   /// more in flight, since traffic between zones is expensive.
   static constexpr std::uint32_t kOtherZonePenalty = 8;
 
+  /// A failing daemon has the fewest requests, and would be chosen again.
+  static constexpr std::chrono::milliseconds kFailurePause{500};
+
   /// Records a message of a daemon.
   /// @param address where it accepts forwarded requests; empty if it does not,
   /// or if it reaches no upstream itself
@@ -49,12 +52,17 @@
   }
   void OnAttemptEnded(const std::string& daemon);
 
+  /// Records that a daemon could not be reached, or refused a request; it gets
+  /// none for `kFailurePause`.
+  void OnFailed(const std::string& daemon, MonotonicTime now);
+
  private:
   struct Peer {
     std::string zone;
     std::string address;
     MonotonicTime heard_at{};
     std::uint32_t in_flight = 0;
+    MonotonicTime paused_until{};
   };
 
   std::map<std::string, Peer> m_peers;
--- a/packages/core/include/jasminehatch/detail/forwarding/upstream_reachability.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/upstream_reachability.h
@@ -51,9 +51,10 @@
   std::optional<Cut> BeginIfUnreachable(const std::vector<std::string>& zones,
                                         MonotonicTime now);
 
-  /// Records that an upstream answered on a new connection.
+  /// Records that an upstream answered on a connection that was opened after a
+  /// time. One that was opened before the latest failures proves nothing.
   /// @return the cut that ends with this, if any
-  std::optional<Cut> OnConnected();
+  std::optional<Cut> OnConnected(MonotonicTime opened_after);
 
   bool IsCut() const { return m_cut.has_value(); }
 
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -113,6 +113,11 @@
   }
   const Placement placement = ChooseUpstream(m_state, request, m_now);
   if (auto denial = FindPlacementDenial(request, placement)) {
+    // A probe that no upstream takes is forwarded like other requests.
+    if (const std::string* peer = ChoosePeer(request)) {
+      StartAtPeer(request, *peer);
+      return;
+    }
     Refuse(request, std::move(*denial));
     return;
   }
@@ -434,6 +439,9 @@
 
 void Reducer::RecordOutcome(const Request& request, const AttemptEnded& event) {
   if (request.attempt->at_peer) {
+    if (event.outcome != AttemptOutcome::kCompleted) {
+      m_state.peers.OnFailed(request.attempt->upstream, m_now);
+    }
     return;
   }
   Upstream* upstream = m_state.upstreams.Find(request.attempt->upstream);
--- a/packages/core/src/forwarding/forwarding_peers.cc
+++ b/packages/core/src/forwarding/forwarding_peers.cc
@@ -36,6 +36,7 @@
   std::tuple<std::uint32_t, std::uint64_t> best_cost;
   for (const auto& [name, peer] : m_peers) {
     if (peer.address.empty() || now - peer.heard_at > kMaxSilence ||
+        now < peer.paused_until ||
         std::find(tried.begin(), tried.end(), name) != tried.end()) {
       continue;
     }
@@ -49,6 +50,13 @@
   return best;
 }
 
+void ForwardingPeers::OnFailed(const std::string& daemon, MonotonicTime now) {
+  const auto found = m_peers.find(daemon);
+  if (found != m_peers.end()) {
+    found->second.paused_until = now + kFailurePause;
+  }
+}
+
 void ForwardingPeers::OnAttemptEnded(const std::string& daemon) {
   const auto found = m_peers.find(daemon);
   if (found != m_peers.end() && found->second.in_flight > 0) {
--- a/packages/core/src/forwarding/peer_forwarding.cc
+++ b/packages/core/src/forwarding/peer_forwarding.cc
@@ -35,8 +35,8 @@
                  {{"failures", std::to_string(cut->failures)}});
 }
 
-void Reducer::Apply(const UpstreamConnected& /*event*/) {
-  const auto cut = m_state.reachability.OnConnected();
+void Reducer::Apply(const UpstreamConnected& event) {
+  const auto cut = m_state.reachability.OnConnected(event.opened_after);
   if (!cut) {
     return;
   }
@@ -47,8 +47,10 @@
 }
 
 const std::string* Reducer::ChoosePeer(const Request& request) const {
-  // A request is forwarded once, so that it cannot go in circles.
-  if (request.arrival.forwarded || !m_state.reachability.IsCut()) {
+  // A request is forwarded once, so that it cannot go in circles. The peer
+  // does not know of attempts that may have run.
+  if (request.arrival.forwarded || request.run_count > 0 ||
+      !m_state.reachability.IsCut()) {
     return nullptr;
   }
   return m_state.peers.Choose(m_state.options.zone, request.tried_upstreams,
--- a/packages/core/src/forwarding/upstream_reachability.cc
+++ b/packages/core/src/forwarding/upstream_reachability.cc
@@ -1,6 +1,7 @@
 #include "jasminehatch/detail/forwarding/upstream_reachability.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminehatch::forwarding {
 
@@ -36,11 +37,15 @@
   return m_cut;
 }
 
-std::optional<UpstreamReachability::Cut> UpstreamReachability::OnConnected() {
-  m_failures.clear();
-  const auto cut = m_cut;
-  m_cut.reset();
-  return cut;
+std::optional<UpstreamReachability::Cut> UpstreamReachability::OnConnected(
+    MonotonicTime opened_after) {
+  std::erase_if(m_failures, [opened_after](const auto& entry) {
+    return entry.second.at <= opened_after;
+  });
+  if (!m_cut || opened_after < m_cut->since) {
+    return std::nullopt;
+  }
+  return std::exchange(m_cut, std::nullopt);
 }
 
 void UpstreamReachability::OnProbe(MonotonicTime now) {
--- a/packages/core/tests/peer_forwarding_test.cc
+++ b/packages/core/tests/peer_forwarding_test.cc
@@ -31,7 +31,7 @@
 struct PeerFixture : ForwardingFixture {
   PeerFixture() {
     CurrentState().options.zone = "a";
-    for (const char* id : {"u1", "u2", "u3", "u4"}) {
+    for (const char* id : {"u1", "u2", "u3", "u4", "u5"}) {
       UpstreamEntry entry{id, "desk", std::string(id) + ":80",
                           id[1] < '3' ? "a" : "b", 8};
       Apply(UpstreamRegistered{entry});
@@ -126,7 +126,8 @@
   };
   fail_in("b");
   CHECK(!fixture.IsCut());
-  fixture.Apply(UpstreamConnected{});
+  fixture.Wait(1ms);
+  fixture.Apply(UpstreamConnected{fixture.Now()});
   fail_in("a");
   CHECK(!fixture.IsCut());
 }
@@ -144,7 +145,10 @@
   fixture.EndAt(probe, AttemptOutcome::kCompleted);
   CHECK(fixture.IsCut());
   CHECK(OnlyStart(fixture.Send("/once/")).to_peer);
-  const auto effects = fixture.Apply(UpstreamConnected{});
+  // A slow response to a request that was sent before the cut.
+  fixture.Apply(UpstreamConnected{fixture.Now() - 1min});
+  CHECK(fixture.IsCut());
+  const auto effects = fixture.Apply(UpstreamConnected{fixture.Now()});
   UNSIGNED_LONGS_EQUAL(1, Count(effects, Counter::kUpstreamsReachable));
   CHECK(!OnlyStart(fixture.Send("/once/")).to_peer);
 }
@@ -187,9 +191,33 @@
     CHECK(second.to_peer);
     CHECK(first.upstream != second.upstream);
     fixture.EndAt(second, AttemptOutcome::kCompleted);
+    fixture.Wait(ForwardingPeers::kFailurePause);
   }
 }
 
+// Guards against more attempts than the route allows: the peer does not know
+// that the request may have run before.
+TEST(PeerForwarding, ARequestThatMayHaveRunIsNotForwarded) {
+  PeerFixture fixture;
+  const StartAttempt first = OnlyStart(fixture.Send("/again/"));
+  fixture.CutOff();
+  const auto effects = fixture.EndAt(first, AttemptOutcome::kBroken);
+  for (const StartAttempt& start : EffectsOf<StartAttempt>(effects)) {
+    CHECK(!start.to_peer);
+  }
+}
+
+// Guards against a probe that is refused because no upstream takes it.
+TEST(PeerForwarding, AProbeThatNoUpstreamTakesIsForwarded) {
+  PeerFixture fixture;
+  fixture.CutOff();
+  fixture.Wait(UpstreamReachability::kFirstProbeInterval);
+  for (const char* id : {"u1", "u2", "u3", "u4", "u5"}) {
+    fixture.Apply(UpstreamPauseRequested{id, 0, 5s});
+  }
+  CHECK(OnlyStart(fixture.Send("/once/")).to_peer);
+}
+
 // Guards against requests that daemons forward to each other in circles, and
 // against forwarding to daemons that are cut off themselves, stop, or are gone.
 TEST(PeerForwarding, OnlyDaemonsThatReachUpstreamsGetRequests) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -99,6 +99,7 @@
     bool at_peer = false;    ///< The attempt was forwarded to another daemon.
     bool forwarded = false;  ///< Another daemon forwarded it to this one.
     std::uint64_t upstream_started_at = 0;
+    MonotonicTime attempt_started_at{};
     forwarding::RouteKind route_kind = forwarding::RouteKind::kNonIdempotent;
     std::uint64_t call_id = 0;
     std::vector<std::string> sent_to;  ///< Addresses of the attempts so far.
@@ -148,6 +149,7 @@
   void ForwardEvent(RequestId id,
                     ActiveRequest& active,
                     const codec::EventSplitter::Event& event);
+  static bool IsShedding(const ActiveRequest& active);
   static forwarding::AttemptOutcome ClassifyPeerResponse(
       const ActiveRequest& active);
   forwarding::AttemptOutcome ClassifyOutcome(const ActiveRequest& active,
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -203,6 +203,7 @@
   active.attempt = effect.attempt;
   active.upstream = effect.upstream;
   active.at_peer = effect.to_peer;
+  active.attempt_started_at = m_clock.Now();
   active.upstream_started_at = effect.started_at;
   active.route_kind = effect.route_kind;
   active.head = {};
@@ -250,9 +251,11 @@
   active->metadata = platform::DecodeResponseHead(head);
   active->head = std::move(head);
   if (active->head.on_new_connection && !active->at_peer) {
-    Apply(forwarding::UpstreamConnected{});
+    Apply(forwarding::UpstreamConnected{active->attempt_started_at});
   }
-  if (active->metadata.request_id != active->caller_id) {
+  // A daemon that sheds a request before it reads the id does not name it.
+  const bool shed_by_peer = active->at_peer && IsShedding(*active);
+  if (active->metadata.request_id != active->caller_id && !shed_by_peer) {
     m_client.Cancel(active->call_id);
     EndAttempt(id, AttemptOutcome::kInvalidResponse,
                "response to another request");
@@ -396,11 +399,22 @@
   }
 }
 
+/// @return whether the response of another daemon is one of its server, which
+/// refused the request before it could run
+bool ForwardingHost::IsShedding(const ActiveRequest& active) {
+  constexpr std::array kStatuses{408, 413, 429, 431, 503};
+  return active.metadata.request_id.empty() &&
+         !active.metadata.is_signed_and_unencoded &&
+         std::find(kStatuses.begin(), kStatuses.end(), active.head.status) !=
+             kStatuses.end();
+}
+
 /// @return the outcome of a complete response of another daemon
 AttemptOutcome ForwardingHost::ClassifyPeerResponse(
     const ActiveRequest& active) {
   const platform::UpstreamResponseHead& metadata = active.metadata;
-  if (metadata.peer_verdict == ToString(Verdict::kNotRun)) {
+  if (metadata.peer_verdict == ToString(Verdict::kNotRun) ||
+      IsShedding(active)) {
     return AttemptOutcome::kNotRun;
   }
   const bool truncated = active.splitter.PendingBytes() > 0;
--- a/packages/daemon/tests/peer_forwarding_test.cc
+++ b/packages/daemon/tests/peer_forwarding_test.cc
@@ -199,8 +199,11 @@
   const CallerResponse rejected = fixture.Send("/once/x");
   LONGS_EQUAL(503, rejected.head.status);
   CHECK_FALSE(rejected.Header("Retry-After").empty());
+  STRCMP_CONTAINS("\"not_run\"", rejected.body.c_str());
   kind = Kind::kBreak;
   const std::size_t run_count = fixture.RunCount();
-  LONGS_EQUAL(502, fixture.Send("/once/x").head.status);
+  const CallerResponse broken = fixture.Send("/once/x");
+  LONGS_EQUAL(502, broken.head.status);
+  STRCMP_CONTAINS("\"may_have_run\"", broken.body.c_str());
   UNSIGNED_LONGS_EQUAL(run_count + 1, fixture.RunCount());
 }
