Use a peer that refused a request if there is no other

A peer that failed is now the last choice and not excluded. PeerForwarding.APeerThatRefusedIsUsedIfThereIsNoOther tests it.

--- a/packages/core/include/jasminehatch/detail/forwarding/forwarding_peers.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/forwarding_peers.h
@@ -52,8 +52,8 @@
   }
   void OnAttemptEnded(const std::string& daemon);
 
-  /// Records that a daemon could not be reached, or refused a request; it gets
-  /// none for `kFailurePause`.
+  /// Records that a daemon could not be reached, or refused a request; for
+  /// `kFailurePause`, others are preferred.
   void OnFailed(const std::string& daemon, MonotonicTime now);
 
  private:
--- a/packages/core/src/forwarding/forwarding_peers.cc
+++ b/packages/core/src/forwarding/forwarding_peers.cc
@@ -33,15 +33,15 @@
     std::uint64_t random,
     MonotonicTime now) const {
   const std::string* best = nullptr;
-  std::tuple<std::uint32_t, std::uint64_t> best_cost;
+  std::tuple<bool, std::uint32_t, std::uint64_t> best_cost;
   for (const auto& [name, peer] : m_peers) {
     if (peer.address.empty() || now - peer.heard_at > kMaxSilence ||
-        now < peer.paused_until ||
         std::find(tried.begin(), tried.end(), name) != tried.end()) {
       continue;
     }
     const std::uint32_t penalty = peer.zone == own_zone ? 0 : kOtherZonePenalty;
-    const std::tuple cost{peer.in_flight + penalty, StableHash(name, random)};
+    const std::tuple cost{now < peer.paused_until, peer.in_flight + penalty,
+                          StableHash(name, random)};
     if (best == nullptr || cost < best_cost) {
       best = &name;
       best_cost = cost;
--- a/packages/core/tests/peer_forwarding_test.cc
+++ b/packages/core/tests/peer_forwarding_test.cc
@@ -195,6 +195,15 @@
   }
 }
 
+// Guards against refusing all requests because the only daemon that reaches
+// upstreams has refused one.
+TEST(PeerForwarding, APeerThatRefusedIsUsedIfThereIsNoOther) {
+  PeerFixture fixture;
+  fixture.CutOff();
+  fixture.EndAt(OnlyStart(fixture.Send("/once/")), AttemptOutcome::kNotRun);
+  CHECK(OnlyStart(fixture.Send("/once/")).to_peer);
+}
+
 // Guards against more attempts than the route allows: the peer does not know
 // that the request may have run before.
 TEST(PeerForwarding, ARequestThatMayHaveRunIsNotForwarded) {
