Hear the peers before a starting daemon trusts the store

Callers saw a revoked key work at a daemon that had just started, while the store had come back from a copy older than the revocation (CONFIG); routes without a key were served from the older configuration for as long as the daemon was behind.

Cause: a proof of freshness says that the store has nothing newer. A store that was restored has lost what was newer. A running daemon keeps its version; one that starts took the copy for the newest, until a message of a peer happened to arrive.

A daemon that starts now waits until three peers (or all listed ones) have told their version, for 1 s at most. Peers answer its first message at once. Until its first proof it refuses with configuration_stale, also on routes without a key, and a peer that tells of a newer version within 5 s takes the proof back. The log names the versions that decided, and `started` the build, which tells the daemons of an upgrade apart.

PeerGossip.APeerTellsOfRecordsThatWereNotRead gives the peer a configuration, since one without says nothing.

--- a/packages/core/include/jasminehatch/core.h
+++ b/packages/core/include/jasminehatch/core.h
@@ -59,6 +59,7 @@
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
 #include "jasminehatch/detail/forwarding/part_verdict.h"
+#include "jasminehatch/detail/forwarding/peer_configurations.h"
 #include "jasminehatch/detail/forwarding/peer_contact.h"
 #include "jasminehatch/detail/forwarding/placement.h"
 #include "jasminehatch/detail/forwarding/placement_reason.h"
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -39,8 +39,12 @@
   LogPosition end;
 };
 
+/// This daemon exchanges messages with others; applied once, at the start.
+struct PeersExpected {};
+
 /// A peer has a configuration with this version; 0 if it has none.
 struct PeerConfigurationHeard {
+  std::string daemon;
   std::uint64_t version = 0;
 };
 
@@ -336,6 +340,7 @@
                            SharedClockRead,
                            PeerLoadReceived,
                            PeerCountsChanged,
+                           PeersExpected,
                            PeersListed,
                            PeerHeard,
                            CrashReportReceived,
--- a/packages/core/include/jasminehatch/detail/forwarding/state.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/state.h
@@ -23,6 +23,7 @@
 #include "jasminehatch/detail/forwarding/forwarding_peers.h"
 #include "jasminehatch/detail/forwarding/options.h"
 #include "jasminehatch/detail/forwarding/part_suspects.h"
+#include "jasminehatch/detail/forwarding/peer_configurations.h"
 #include "jasminehatch/detail/forwarding/peer_contact.h"
 #include "jasminehatch/detail/forwarding/registry_knowledge.h"
 #include "jasminehatch/detail/forwarding/request.h"
@@ -48,10 +49,12 @@
   /// configuration was sent.
   std::optional<MonotonicTime> confirmed_at;
   ConfigurationLag lag;
-  /// Highest version of a configuration that a peer was heard to have.
-  std::uint64_t peer_configuration_version = 0;
-  MonotonicTime peer_configuration_heard_at{};  ///< Latest time of that.
+  PeerConfigurations peer_configurations;
+  /// When the first freshness proof was accepted; nothing again while a daemon
+  /// that has just started is behind its peers.
   std::optional<MonotonicTime> first_confirmed_at;
+  /// The newest proof that came while the daemon waited for its peers.
+  std::optional<ConfigurationConfirmed> pending_confirmation;
   std::optional<StopRequested> stop;  ///< Set while the daemon stops.
   UpstreamDirectory upstreams;
   RegistryKnowledge registry;
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -19,11 +19,6 @@
 /// Minimum remaining time for starting an attempt.
 inline constexpr std::chrono::milliseconds kMinAttemptTime{20};
 
-/// Time after a message for which a peer's configuration counts. By then, the
-/// operators have written again what a restored store lost, and a daemon whose
-/// peers are gone must not wait for them.
-inline constexpr std::chrono::seconds kPeerConfigurationTime{10};
-
 /// @return the duration in whole milliseconds, for logs
 std::string Milliseconds(Duration duration);
 
@@ -47,6 +42,9 @@
 
   void Apply(const ConfigurationRead& event);
   void Apply(const ConfigurationConfirmed& event);
+  void Apply(const PeersExpected& /*event*/) {
+    m_state.peer_configurations.Expect();
+  }
   void Apply(const PeerConfigurationHeard& event);
   void Apply(const UpstreamRegistered& event) {
     m_state.upstreams.Register(event.entry, m_now);
@@ -118,6 +116,7 @@
     m_state.part_suspects.SetDaemons(event.recent + 1);
   }
   void Apply(const PeersListed& event) {
+    m_state.peer_configurations.OnListed(event.peers.size());
     for (const PeersListed::Peer& peer : event.peers) {
       m_state.members.OnListed(peer.daemon, peer.zone, m_now);
     }
@@ -145,6 +144,9 @@
   void Apply(const StreamOriginsReceived& event);
   void Apply(const TimerFired& event);
 
+  /// Accepts the freshness proof that waited for the peers to be heard.
+  void ApplyPendingConfirmation();
+
   /// Decides on a request as its arrival would, without admitting it.
   Explanation Explain(const RequestReceived& event) const;
 
@@ -158,16 +160,18 @@
   /// @return whether a peer has a newer configuration than this daemon
   bool HasOlderConfigurationThanPeers() const {
     return m_state.table &&
-           m_state.table->SourceConfiguration().version <
-               m_state.peer_configuration_version &&
-           m_now - m_state.peer_configuration_heard_at <=
-               kPeerConfigurationTime;
+           m_state.peer_configurations.HasNewerThan(
+               m_state.table->SourceConfiguration().version, m_now);
   }
   bool ConfigurationIsCurrent() const {
     return m_state.table && m_state.confirmed_at &&
            m_now - *m_state.confirmed_at <= m_state.options.max_proof_age;
   }
 
+  /// Describes for the log from whom the daemon knows that its configuration
+  /// is, or is not, the newest one.
+  void LogConfiguration(std::string_view event);
+
   /// @return a description of the age of the freshness proof, for logs
   std::string DescribeProofAge() const {
     return m_state.confirmed_at
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -60,6 +60,7 @@
   }
   m_state.table = std::make_shared<const RouteTable>(event.configuration);
   m_state.stores.Configure(event.configuration.services);
+  m_state.peer_configurations.OnRead(m_now);
   ReportColdUpstreams();
 }
 
@@ -69,28 +70,50 @@
   if (event.sent_at > m_now || HasOlderConfigurationThanPeers()) {
     return;
   }
+  if (m_state.peer_configurations.IsWaiting(m_now)) {
+    m_state.pending_confirmation = event;
+    return;
+  }
   if (!m_state.confirmed_at || event.sent_at > *m_state.confirmed_at) {
     m_state.confirmed_at = event.sent_at;
   }
-  m_state.first_confirmed_at = m_state.first_confirmed_at.value_or(m_now);
+  if (!m_state.first_confirmed_at) {
+    m_state.first_confirmed_at = m_now;
+    LogConfiguration("configuration_confirmed");
+  }
   m_state.cache_use.OnConfirmed(event.sent_at);
   m_state.lag.OnConfirmed(event.end, event.sent_at);
 }
 
-void Reducer::Apply(const PeerConfigurationHeard& event) {
-  if (event.version >= m_state.peer_configuration_version) {
-    m_state.peer_configuration_version = event.version;
-    m_state.peer_configuration_heard_at = m_now;
+void Reducer::ApplyPendingConfirmation() {
+  if (m_state.pending_confirmation &&
+      !m_state.peer_configurations.IsWaiting(m_now)) {
+    Apply(*std::exchange(m_state.pending_confirmation, std::nullopt));
   }
+}
+
+void Reducer::Apply(const PeerConfigurationHeard& event) {
+  m_state.peer_configurations.OnHeard(event.daemon, event.version, m_now);
   // A daemon that has just started may have read an older copy of the store
-  // before it heard of any peer.
+  // before it heard of the peers that know better.
   if (m_state.first_confirmed_at &&
       m_now - *m_state.first_confirmed_at < kStartTime &&
       HasOlderConfigurationThanPeers()) {
     m_state.confirmed_at.reset();
+    m_state.first_confirmed_at.reset();
+    LogConfiguration("configuration_outdated");
   }
 }
 
+void Reducer::LogConfiguration(std::string_view event) {
+  const std::uint64_t version =
+      m_state.table ? m_state.table->SourceConfiguration().version : 0;
+  LogStateChange(
+      event, {{"version", std::to_string(version)},
+              {"newest_of_peers",
+               std::to_string(m_state.peer_configurations.NewestVersion())}});
+}
+
 void Reducer::Apply(const RequestReceived& event) {
   auto [entry, inserted] =
       m_state.requests.try_emplace(event.request, Request{});
@@ -162,6 +185,12 @@
 
 std::optional<Denial> Reducer::Authorize(Request& request) const {
   const bool current = ConfigurationIsCurrent();
+  if (!m_state.first_confirmed_at) {
+    // The store may have come back from a copy older than the routes, also
+    // those without a key.
+    return Denial{RefusalCode::kConfigurationStale,
+                  "routes cannot be checked: " + DescribeProofAge()};
+  }
   if (request.route == nullptr) {
     return Denial{
         current ? RefusalCode::kUnknownRoute : RefusalCode::kConfigurationStale,
@@ -384,6 +413,7 @@
 Effects Step(const Event& event, MonotonicTime now, State& state) {
   Reducer reducer(state, now);
   std::visit([&](const auto& body) { reducer.Apply(body); }, event);
+  reducer.ApplyPendingConfirmation();
   return reducer.TakeEffects();
 }
 
--- a/packages/core/tests/forwarding_step_test.cc
+++ b/packages/core/tests/forwarding_step_test.cc
@@ -76,7 +76,7 @@
     fixture.Wait(age);
     fixture.Confirm();
     OnlyStart(fixture.Send("/once/"));
-    fixture.Apply(PeerConfigurationHeard{1000});
+    fixture.Apply(PeerConfigurationHeard{"peer", 1000});
     if (age == 0s) {
       CHECK(Is(RefusalCode::kConfigurationStale,
                OnlyRefusal(fixture.Send("/once/"))));
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -162,6 +162,8 @@
     /// Relative capacity of its VM; nothing if it does not relay feeds.
     std::optional<double> capacity;
     bool stopping = false;  ///< It was asked to stop.
+    /// Whether the first message of the incarnation was answered.
+    bool answered = false;
   };
 
   struct PendingWeightsUpdate {
@@ -198,6 +200,10 @@
                        std::uint64_t incarnation);
   void Receive();
   void OnMessage(std::string_view data);
+  /// Sends a message at once to a peer that has not had one since its first. A
+  /// daemon that starts waits for some; in a large fleet, it is rarely among
+  /// the recipients of `Send`.
+  void AnswerFirstMessage(Peer& peer);
 
   /// @brief The recipients of the next messages.
   struct Recipients {
@@ -211,6 +217,7 @@
   void SendTo(const std::vector<const Peer*>& peers,
               codec::GossipMessage& message);
   Recipients ChooseRecipients();
+  /// @return a message without what is sent only a limited number of times
   codec::GossipMessage MakeMessage();
   std::vector<forwarding::StreamOrigin> TakeOrigins();
   void ArmSendTimer();
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -13,6 +13,7 @@
 #include <string>
 #include <utility>
 
+#include "build_id.h"
 #include "cache_store_followers.h"
 #include "caller_listener.h"
 #include "dependency_log.h"
@@ -120,7 +121,8 @@
         m_stop_timer(loop),
         m_log_timer(loop) {
     const std::array fields{DecisionLogField{"name", settings.name},
-                            DecisionLogField{"zone", settings.zone}};
+                            DecisionLogField{"zone", settings.zone},
+                            DecisionLogField{"build", std::string(kBuildId)}};
     m_log.Write(DecisionLog::Level::kState, "started", fields);
     m_store.SetCallObserver([this](const relay::StoreCall& call) {
       m_metrics.CountStoreCall(call);
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -120,6 +120,7 @@
         301, "cannot bind UDP " + options.address + ": " + error.message());
   }
   m_socket.non_blocking(true, error);
+  m_host.Apply(forwarding::PeersExpected{});
 }
 
 void PeerGossip::Start() {
@@ -218,7 +219,10 @@
 }
 
 void PeerGossip::OnPeersRead() {
-  if (m_list_repeats > 0) {
+  if (m_list_repeats == 0) {
+    // Peers answer the first message, and tell which configuration they have.
+    Send();
+  } else {
     std::vector<const Peer*> peers;
     for (const auto& [name, peer] : m_peers) {
       peers.push_back(&peer);
@@ -274,6 +278,7 @@
     peer.last_sequence = 0;
     peer.last_sent_ms = 0;
     peer.stopping = false;
+    peer.answered = false;
   }
   peer.endpoint = endpoint;
   peer.zone = zone;
@@ -328,6 +333,7 @@
   found->second.message_received = true;
   found->second.capacity = message.capacity;
   found->second.stopping = message.stopping;
+  AnswerFirstMessage(found->second);
   if (message.freshness_proof_age_ms) {
     m_host.Apply(forwarding::OperatorRecordsAnnounced{message.operator_end});
   }
@@ -343,8 +349,8 @@
                     milliseconds(*message.freshness_proof_age_ms);
     m_on_peer_proof({message.operator_end, at});
   }
-  m_host.Apply(
-      forwarding::PeerConfigurationHeard{message.configuration_version});
+  m_host.Apply(forwarding::PeerConfigurationHeard{
+      message.daemon, message.configuration_version});
   m_host.Apply(forwarding::PeerHeard{message.daemon, message.zone,
                                      message.stopping,
                                      message.forwarding_address});
@@ -377,6 +383,13 @@
   }
 }
 
+void PeerGossip::AnswerFirstMessage(Peer& peer) {
+  if (!std::exchange(peer.answered, true)) {
+    codec::GossipMessage message = MakeMessage();
+    SendTo({&peer}, message);
+  }
+}
+
 PeerGossip::Recipients PeerGossip::ChooseRecipients() {
   const MonotonicTime now = m_clock.Now();
   std::vector<const Peer*> same_zone;
@@ -481,6 +494,7 @@
     return;
   }
   codec::GossipMessage message = MakeMessage();
+  message.stream_origins = TakeOrigins();
   SendTo(recipients.own_load_peers, message);
   if (!recipients.zone_load_peers.empty()) {
     message.loads = m_host.ZoneLoads(message.loads);
@@ -529,7 +543,6 @@
   message.part_verdicts = m_host.State().part_suspects.Verdicts(now);
   message.upstream_failures =
       m_host.State().failure_reports.ForMessage(m_host.State().upstreams, now);
-  message.stream_origins = TakeOrigins();
   message.sent_ms = static_cast<std::uint64_t>(
       std::chrono::floor<milliseconds>(now.time_since_epoch()).count());
   if (const auto proof = m_get_own_proof ? m_get_own_proof() : std::nullopt) {
--- a/packages/daemon/tests/forwarder_fixture.cc
+++ b/packages/daemon/tests/forwarder_fixture.cc
@@ -58,8 +58,19 @@
                                          m_log_descriptor);
 }
 
+void ForwarderFixture::ReplaceDaemonByPeer(const std::string& name) {
+  m_settings.peer_address = m_host.NewUdpAddress(m_loop);
+  ReplaceDaemon(name);
+}
+
+void ForwarderFixture::AddPeer(const std::string& name) {
+  m_peers.push_back(std::move(m_daemon));
+  ReplaceDaemonByPeer(name);
+}
+
 ForwarderFixture::~ForwarderFixture() {
   m_daemon.reset();
+  m_peers.clear();
   close(m_log_descriptor);
 }
 
--- a/packages/daemon/tests/forwarder_fixture.h
+++ b/packages/daemon/tests/forwarder_fixture.h
@@ -69,6 +69,12 @@
   /// Ends the daemon without a stop and starts another one.
   void ReplaceDaemon(const std::string& name);
 
+  /// As `ReplaceDaemon`, with a daemon that exchanges gossip.
+  void ReplaceDaemonByPeer(const std::string& name);
+
+  /// Starts a further daemon that exchanges gossip; it gets all later calls.
+  void AddPeer(const std::string& name);
+
   /// Replaces both upstreams by the one at this address, and waits until the
   /// daemon knows.
   void UseOnly(const std::string& address);
@@ -100,6 +106,7 @@
   std::vector<std::unique_ptr<emulator::UpstreamEmulator>> m_upstreams;
   net::StreamClient m_client;
   codec::ForwarderSettings m_settings;
+  std::vector<std::unique_ptr<Forwarder>> m_peers;
   std::unique_ptr<Forwarder> m_daemon;
   net::HttpHeaders m_caller_headers;
   std::uint64_t m_call = 0;
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -73,6 +73,12 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
+  void ReadConfiguration(std::uint64_t version) {
+    forwarding::Configuration configuration;
+    configuration.version = version;
+    host.Apply(forwarding::ConfigurationRead{configuration});
+  }
+
   daemon::ForwardingHost host;
   daemon::PeerGossip gossip;
 };
@@ -351,6 +357,8 @@
   GossipFixture fixture;
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  // A peer without a configuration says nothing of what `right` has read.
+  left.ReadConfiguration(1);
   std::uint64_t end_offset = 7;
   left.gossip.ShareFreshnessProofs(
       [&] {
@@ -375,6 +383,31 @@
   CHECK(!is_behind());
 }
 
+// Guards against a daemon that starts on a store which came back from an older
+// copy, and accepts a revoked key until it happens to hear of a peer.
+TEST(PeerGossip, AStartingDaemonHearsItsPeersBeforeItTrustsTheStore) {
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  left.ReadConfiguration(8);
+  fixture.loop.run_for(50ms);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  const forwarding::State& state = right.host.State();
+  const auto confirm = [&] {
+    right.host.Apply(
+        forwarding::ConfigurationConfirmed{fixture.clock.Now(), {1, 1}});
+  };
+  right.ReadConfiguration(7);
+  confirm();
+  CHECK(!state.confirmed_at);
+  CHECK(fixture.RunUntil(
+      [&] { return state.peer_configurations.NewestVersion() == 8; }));
+  confirm();
+  CHECK(!state.confirmed_at);
+  right.ReadConfiguration(8);
+  confirm();
+  CHECK(state.confirmed_at.has_value());
+}
+
 // Guards against a proof whose time was counted on the clock of an earlier
 // boot: a daemon that lost power takes it for one of the future or of the past.
 TEST(PeerGossip, AnEchoOfAnEarlierProcessProvesNothing) {
--- a/packages/daemon/tests/restored_store_test.cc
+++ b/packages/daemon/tests/restored_store_test.cc
@@ -3,7 +3,9 @@
 
 #include <jasminehatch/daemon.h>
 #include <jasminehatch/emulator.h>
+#include <jasminehatch/net.h>
 
+#include <chrono>
 #include <string>
 
 #include "forwarder_fixture.h"
@@ -51,6 +53,28 @@
   LONGS_EQUAL(401, StatusWith(fixture, "revoked"));
 }
 
+// Guards against a revoked key that is accepted by a daemon which starts while
+// the store has a copy older than the revocation.
+TEST(RestoredStore, ADaemonThatStartsOnAnOlderCopyAcceptsNoRevokedKey) {
+  ForwarderFixture fixture;
+  fixture.ReplaceDaemonByPeer("e1");
+  CHECK(fixture.WaitUntilReady());
+  Publish(fixture, 3, "added");
+  CHECK(fixture.RunUntil([&] { return StatusWith(fixture, "added") == 200; }));
+  LONGS_EQUAL(401, StatusWith(fixture, "key"));
+  fixture.Platform().RestoreOlderCopy(kOperatorTopic, 1);
+  fixture.AddPeer("e2");
+  constexpr auto kCopyTime = std::chrono::milliseconds(1500);
+  const net::BootClock clock;
+  const MonotonicTime started_at = clock.Now();
+  while (clock.Now() - started_at < kCopyTime) {
+    CHECK(StatusWith(fixture, "key") != 200);
+  }
+  Publish(fixture, 3, "added");
+  CHECK(fixture.RunUntil([&] { return StatusWith(fixture, "added") == 200; }));
+  LONGS_EQUAL(401, StatusWith(fixture, "key"));
+}
+
 // Guards against a configuration that reverts to that of the copy.
 TEST(RestoredStore, TheConfigurationDoesNotRevert) {
   ForwarderFixture fixture;
