Suspect all parts of a prompt, and bound the evidence by bytes

Cause: MakeCrashReport reported the last 32 shared parts only, to bound the size of messages. What was dropped was chosen by its place, and the parts at the front are those that most requests share. In the same way, one long prompt pushed all others out of the 1,024 parts with evidence, and its parts each other out of the 64 verdicts.

All parts are reported. A daemon passes on only what was new to it. The log of suspected parts is bounded by bytes too, with their number.

The test of the bound on memory now checks bytes in place of 1,024 parts.

--- a/packages/core/include/jasminehatch/detail/forwarding/part_suspects.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/part_suspects.h
@@ -10,6 +10,7 @@
 
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarding/answered_parts.h"
+#include "jasminehatch/detail/forwarding/crash_evidence.h"
 #include "jasminehatch/detail/forwarding/part_verdict.h"
 
 namespace jasminehatch::forwarding {
@@ -28,8 +29,9 @@
 class PartSuspects {
  public:
   /// @brief Records a crash that concerns the parts of the report.
-  /// @return whether the report was new
-  bool RecordCrash(const CrashReport& report, MonotonicTime now);
+  /// @return the parts for which it was new
+  std::vector<std::uint64_t> RecordCrash(const CrashReport& report,
+                                         MonotonicTime now);
 
   /// @brief Records that an upstream answered a request with these parts, which
   /// releases them.
@@ -70,16 +72,10 @@
   /// @return this daemon's verdicts since the last call
   std::vector<PartVerdict> TakeChanges();
 
-  /// @return the number of tracked parts
-  std::size_t Size() const { return m_evidence.size(); }
+  const CrashEvidence& Evidence() const { return m_evidence; }
 
  private:
-  struct Crash {
-    std::uint64_t upstream = 0;
-    std::uint64_t own_part = 0;
-    MonotonicTime at{};
-  };
-  using Crashes = std::vector<Crash>;  ///< In the order of time.
+  using Crashes = CrashEvidence::Crashes;
 
   struct Verdict {
     std::uint32_t epoch = 0;
@@ -89,8 +85,7 @@
     MonotonicTime last_probe_at{};
   };
 
-  bool AddCrash(std::uint64_t part, const Crash& crash, MonotonicTime now);
-  void MakeRoom(MonotonicTime now);
+  bool AddCrash(std::uint64_t part, const PartCrash& crash, MonotonicTime now);
   static std::uint32_t Weight(const Crashes& crashes);
   std::uint32_t WeightOf(std::uint64_t part, MonotonicTime now) const;
   bool IsQuarantined(std::uint64_t part, MonotonicTime now) const;
@@ -106,7 +101,9 @@
   /// @return the parts that requests are refused for
   std::vector<std::uint64_t> RefusedOf(std::span<const std::uint64_t> parts,
                                        MonotonicTime now) const;
-  bool HasRival(std::uint64_t part, MonotonicTime now) const;
+  /// @return the number of other quarantined parts that were in the crashes of
+  /// `part` and in no others
+  std::size_t RivalCount(std::uint64_t part, MonotonicTime now) const;
   MonotonicTime ProbeDueAt(std::uint64_t part, MonotonicTime now) const;
   void Judge(std::span<const std::uint64_t> parts, MonotonicTime now);
   void Quarantine(std::uint64_t part, MonotonicTime now);
@@ -117,7 +114,7 @@
                            MonotonicTime now);
 
   AnsweredParts m_answered;
-  std::unordered_map<std::uint64_t, Crashes> m_evidence;
+  CrashEvidence m_evidence;
   std::unordered_map<std::uint64_t, Verdict> m_verdicts;
   std::vector<PartVerdict> m_changes;
   std::size_t m_daemons = 1;
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -32,9 +32,8 @@
 /// target.
 constexpr std::chrono::milliseconds kMinStreamTimeout{1500};
 
-/// Maximum number of prompt parts in a crash report, which limits the size of
-/// gossip messages.
-constexpr std::size_t kMaxReportedParts = 32;
+/// Maximum size of a list of prompt parts in the log, in bytes.
+constexpr std::size_t kMaxLoggedPartBytes = 4096;
 
 /// Adds up the fetched and saved tokens, for the log.
 void AddCacheTokens(const Prompt& prompt,
@@ -92,10 +91,7 @@
   // that wait for the head were not being answered.
   if (attempt.response_begun && !request.attempt->response_started &&
       !request.shared_parts.empty()) {
-    const auto& parts = request.shared_parts;
-    report.parts.assign(parts.end() - static_cast<std::ptrdiff_t>(std::min(
-                                          parts.size(), kMaxReportedParts)),
-                        parts.end());
+    report.parts = request.shared_parts;
     report.own_part = StableHash(request.arrival.prompt->parts.back().id);
   }
   return report;
@@ -225,13 +221,21 @@
 void Reducer::LogSuspectedParts(const Request& request) {
   std::string ids;
   std::string hashes;
-  for (std::size_t i = 0; i < request.shared_parts.size(); ++i) {
+  const std::size_t count = request.shared_parts.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string& id = request.arrival.prompt->parts[i].id;
+    const std::string hash = std::to_string(request.shared_parts[i]);
+    if (std::max(ids.size() + id.size(), hashes.size() + hash.size()) >=
+        kMaxLoggedPartBytes) {
+      break;
+    }
     const char* separator = i == 0 ? "" : ",";
-    ids += separator + request.arrival.prompt->parts[i].id;
-    hashes += separator + std::to_string(request.shared_parts[i]);
+    ids += separator + id;
+    hashes += separator + hash;
   }
   Log(request, "parts_suspected",
       {{"upstream", request.attempt->upstream},
+       {"count", std::to_string(count)},
        {"part_ids", std::move(ids)},
        {"parts", std::move(hashes)}});
 }
--- a/packages/core/src/forwarding/part_suspects.cc
+++ b/packages/core/src/forwarding/part_suspects.cc
@@ -29,9 +29,6 @@
 /// daemons, and a release returns, in about this time.
 constexpr milliseconds kObjectionTime{600};
 
-/// Time for which crashes without a later answer count.
-constexpr std::chrono::minutes kEvidenceLifetime{10};
-
 /// After this time a part is used again; one more crash quarantines it again.
 constexpr std::chrono::minutes kQuarantineTime{10};
 
@@ -52,66 +49,38 @@
 
 constexpr std::uint32_t kMaxProbeDoublings = 5;
 
-constexpr std::size_t kMaxCrashesPerPart = 16;
-constexpr std::size_t kMaxSuspects = 1024;
 constexpr std::size_t kMaxVerdicts = 64;
 
+/// Maximum number of parts that are quarantined for the same crashes. One is
+/// enough to refuse the requests; more are needed since an answer to another
+/// request may release it. A prompt may have more parts than there are
+/// verdicts.
+constexpr std::size_t kMaxRivals = 16;
+
 }  // namespace
 
-bool PartSuspects::RecordCrash(const CrashReport& report, MonotonicTime now) {
-  const Crash crash{report.upstream, report.own_part, now - report.age};
-  bool added = false;
+std::vector<std::uint64_t> PartSuspects::RecordCrash(const CrashReport& report,
+                                                     MonotonicTime now) {
+  const PartCrash crash{report.upstream, report.own_part, now - report.age};
+  std::vector<std::uint64_t> added;
   for (const std::uint64_t part : report.parts) {
-    added = AddCrash(part, crash, now) || added;
-  }
-  if (added) {
-    Judge(report.parts, now);
+    if (AddCrash(part, crash, now)) {
+      added.push_back(part);
+    }
   }
+  Judge(added, now);
   return added;
 }
 
 bool PartSuspects::AddCrash(std::uint64_t part,
-                            const Crash& crash,
+                            const PartCrash& crash,
                             MonotonicTime now) {
   const auto answer = m_answered.LastAnswer(part);
-  if ((answer && *answer >= crash.at) || now - crash.at > kEvidenceLifetime) {
-    return false;
-  }
-  const auto found = m_evidence.find(part);
-  if (found == m_evidence.end()) {
-    MakeRoom(now);
-  }
-  Crashes& crashes = m_evidence[part];
-  const auto same = [&](const Crash& known) {
-    return known.upstream == crash.upstream;
-  };
-  if (crashes.size() >= kMaxCrashesPerPart ||
-      std::any_of(crashes.begin(), crashes.end(), same)) {
+  if ((answer && *answer >= crash.at) ||
+      now - crash.at > CrashEvidence::kLifetime) {
     return false;
   }
-  const auto place = std::upper_bound(
-      crashes.begin(), crashes.end(), crash,
-      [](const Crash& left, const Crash& right) { return left.at < right.at; });
-  crashes.insert(place, crash);
-  return true;
-}
-
-void PartSuspects::MakeRoom(MonotonicTime now) {
-  if (m_evidence.size() < kMaxSuspects) {
-    return;
-  }
-  std::erase_if(m_evidence, [&](const auto& entry) {
-    return now - entry.second.back().at > kEvidenceLifetime;
-  });
-  if (m_evidence.size() < kMaxSuspects) {
-    return;
-  }
-  const auto oldest =
-      std::min_element(m_evidence.begin(), m_evidence.end(),
-                       [](const auto& left, const auto& right) {
-                         return left.second.back().at < right.second.back().at;
-                       });
-  m_evidence.erase(oldest);
+  return m_evidence.Add(part, crash, now);
 }
 
 std::uint32_t PartSuspects::Weight(const Crashes& crashes) {
@@ -119,7 +88,7 @@
   std::uint32_t in_moment = 0;
   std::set<std::uint64_t> own_parts;
   std::optional<MonotonicTime> moment;
-  for (const Crash& crash : crashes) {
+  for (const PartCrash& crash : crashes) {
     const bool other_request = own_parts.insert(crash.own_part).second;
     const bool other_moment = !moment || crash.at - *moment >= kMomentSpan;
     if (other_moment) {
@@ -135,13 +104,13 @@
 
 std::uint32_t PartSuspects::WeightOf(std::uint64_t part,
                                      MonotonicTime now) const {
-  const auto found = m_evidence.find(part);
-  if (found == m_evidence.end()) {
+  const Crashes* known = m_evidence.Find(part);
+  if (known == nullptr) {
     return 0;
   }
-  Crashes crashes = found->second;
-  std::erase_if(crashes, [&](const Crash& crash) {
-    return now - crash.at > kEvidenceLifetime;
+  Crashes crashes = *known;
+  std::erase_if(crashes, [&](const PartCrash& crash) {
+    return now - crash.at > CrashEvidence::kLifetime;
   });
   return Weight(crashes);
 }
@@ -168,19 +137,17 @@
 
 bool PartSuspects::IsExplainedBy(std::uint64_t part,
                                  std::uint64_t other) const {
-  const auto own = m_evidence.find(part);
-  const auto others = m_evidence.find(other);
-  if (own == m_evidence.end() || others == m_evidence.end() ||
-      own->second.size() >= others->second.size()) {
+  const Crashes* own = m_evidence.Find(part);
+  const Crashes* others = m_evidence.Find(other);
+  if (own == nullptr || others == nullptr || own->size() >= others->size()) {
     return false;
   }
-  return std::all_of(
-      own->second.begin(), own->second.end(), [&](const Crash& crash) {
-        return std::any_of(others->second.begin(), others->second.end(),
-                           [&](const Crash& known) {
-                             return known.upstream == crash.upstream;
-                           });
-      });
+  return std::all_of(own->begin(), own->end(), [&](const PartCrash& crash) {
+    return std::any_of(others->begin(), others->end(),
+                       [&](const PartCrash& known) {
+                         return known.upstream == crash.upstream;
+                       });
+  });
 }
 
 bool PartSuspects::IsExplained(std::uint64_t part, MonotonicTime now) const {
@@ -201,7 +168,7 @@
                          MonotonicTime now) {
   for (const std::uint64_t part : parts) {
     if (!IsQuarantined(part, now) && IsEnough(part, now) &&
-        !IsExplained(part, now)) {
+        !IsExplained(part, now) && RivalCount(part, now) < kMaxRivals) {
       Quarantine(part, now);
     }
   }
@@ -213,12 +180,12 @@
   verdict.probes = 0;
   verdict.changed_at = now;
   verdict.last_probe_at = now;
-  verdict.first_crash_at = m_evidence.at(part).front().at;
+  verdict.first_crash_at = m_evidence.Find(part)->front().at;
   m_changes.push_back(Share(part, verdict, now));
 }
 
 void PartSuspects::Release(std::uint64_t part, MonotonicTime now) {
-  m_evidence.erase(part);
+  m_evidence.Erase(part);
   Verdict& verdict = VerdictOn(part);
   ++verdict.epoch;
   verdict.probes = 0;
@@ -248,7 +215,7 @@
     if (verdict != m_verdicts.end() && verdict->second.epoch % 2 == 1) {
       Release(part, now);
     } else {
-      m_evidence.erase(part);
+      m_evidence.Erase(part);
     }
   }
 }
@@ -266,10 +233,9 @@
   own = {verdict.epoch, verdict.probes, now - verdict.age,
          now - verdict.evidence_age, now};
   if (!verdict.IsQuarantine()) {
-    const auto evidence = m_evidence.find(verdict.part);
-    if (evidence != m_evidence.end() &&
-        evidence->second.back().at <= own.changed_at) {
-      m_evidence.erase(evidence);
+    const Crashes* crashes = m_evidence.Find(verdict.part);
+    if (crashes != nullptr && crashes->back().at <= own.changed_at) {
+      m_evidence.Erase(verdict.part);
     }
     return;
   }
@@ -300,29 +266,30 @@
   });
 }
 
-bool PartSuspects::HasRival(std::uint64_t part, MonotonicTime now) const {
-  const auto own = m_evidence.find(part);
-  if (own == m_evidence.end()) {
-    return false;
+std::size_t PartSuspects::RivalCount(std::uint64_t part,
+                                     MonotonicTime now) const {
+  const Crashes* own = m_evidence.Find(part);
+  if (own == nullptr) {
+    return 0;
   }
-  return std::any_of(
-      m_verdicts.begin(), m_verdicts.end(), [&](const auto& entry) {
-        const auto other = m_evidence.find(entry.first);
-        return entry.first != part && other != m_evidence.end() &&
-               IsQuarantined(entry.first, now) &&
-               std::equal(own->second.begin(), own->second.end(),
-                          other->second.begin(), other->second.end(),
-                          [](const Crash& left, const Crash& right) {
-                            return left.upstream == right.upstream;
-                          });
-      });
+  const auto is_rival = [&](const auto& entry) {
+    const Crashes* other = m_evidence.Find(entry.first);
+    return entry.first != part && other != nullptr &&
+           IsQuarantined(entry.first, now) &&
+           std::equal(own->begin(), own->end(), other->begin(), other->end(),
+                      [](const PartCrash& left, const PartCrash& right) {
+                        return left.upstream == right.upstream;
+                      });
+  };
+  return static_cast<std::size_t>(
+      std::count_if(m_verdicts.begin(), m_verdicts.end(), is_rival));
 }
 
 MonotonicTime PartSuspects::ProbeDueAt(std::uint64_t part,
                                        MonotonicTime now) const {
   const Verdict& verdict = m_verdicts.at(part);
-  const Duration delay =
-      HasRival(part, now) ? Duration(kRivalProbeDelay) : Duration(kProbeDelay);
+  const Duration delay = RivalCount(part, now) > 0 ? Duration(kRivalProbeDelay)
+                                                   : Duration(kProbeDelay);
   return verdict.last_probe_at +
          delay * (1U << std::min(verdict.probes, kMaxProbeDoublings));
 }
--- a/packages/core/src/forwarding/step.cc
+++ b/packages/core/src/forwarding/step.cc
@@ -239,9 +239,11 @@
 
 void Reducer::RecordCrash(const CrashReport& report) {
   const bool new_request = m_state.crashes.Record(report, m_now);
-  const bool new_parts = m_state.part_suspects.RecordCrash(report, m_now);
-  if (new_request || new_parts) {
-    m_effects.emplace_back(ShareCrashReport{report});
+  auto new_parts = m_state.part_suspects.RecordCrash(report, m_now);
+  if (new_request || !new_parts.empty()) {
+    CrashReport shared = report;
+    shared.parts = std::move(new_parts);
+    m_effects.emplace_back(ShareCrashReport{std::move(shared)});
   }
   ReportPartVerdicts();
 }
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,8 @@
 struct Daemon {
   bool Crash(std::uint64_t upstream, std::vector<std::uint64_t> parts) {
     now += 1s;
-    return suspects.RecordCrash(Report(upstream, std::move(parts)), now);
+    return !suspects.RecordCrash(Report(upstream, std::move(parts)), now)
+                .empty();
   }
   /// Records crashes of as many upstreams as suffice for a quarantine.
   void CrashThrice(const std::vector<std::uint64_t>& parts) {
@@ -198,7 +200,8 @@
     fail(AttemptOutcome::kInvalidResponse, false);
     fail(AttemptOutcome::kBroken, true);
   }
-  UNSIGNED_LONGS_EQUAL(0, fixture.CurrentState().part_suspects.Size());
+  UNSIGNED_LONGS_EQUAL(0,
+                       fixture.CurrentState().part_suspects.Evidence().Size());
 }
 
 // Guards against convicting a part that was in use when several upstreams of a
@@ -375,6 +378,74 @@
   CHECK_FALSE(other.suspects.TryProbe(parts, 0, other.now));
 }
 
+// Guards against a part that is not suspected since other shared parts follow
+// or precede it in a long prompt (review/9).
+TEST(PartSuspects, APartIsFoundWhereverItStandsInALongPrompt) {
+  constexpr std::size_t kParts = 100;
+  for (const std::size_t place : {std::size_t{0}, kParts / 2, kParts - 1}) {
+    ForwardingFixture fixture;
+    AddEngines(fixture);
+    std::vector<std::string> sound;
+    for (std::size_t part = 0; part < kParts; ++part) {
+      sound.push_back("common" + std::to_string(part));
+    }
+    std::vector<std::string> deadly = sound;
+    deadly.at(place) = "deadly";
+    for (int crash = 0; crash < 3; ++crash) {
+      CHECK(Starts(fixture.SendParts(deadly)));
+      fixture.Crash();
+      fixture.Wait(400ms);
+      CHECK(Starts(fixture.SendParts(sound)));
+      fixture.Answer();
+      fixture.Wait(400ms);
+      fixture.Confirm();
+    }
+    fixture.Wait(1s);
+    fixture.Confirm();
+    CHECK(IsRefusedAsSuspect(fixture.SendParts(deadly)));
+    CHECK(Starts(fixture.SendParts(sound)));
+  }
+}
+
+// Guards against forgetting a part that causes crashes for the many other parts
+// of long prompts that break beside it.
+TEST(PartSuspects, TheMostCrashesAreRememberedLongest) {
+  Daemon daemon;
+  daemon.Crash(1, {kDeadly});
+  daemon.Crash(2, {kDeadly});
+  std::uint64_t next_part = 1000;
+  for (std::uint64_t upstream = 10; upstream < 20; ++upstream) {
+    std::vector<std::uint64_t> parts(4000);
+    std::iota(parts.begin(), parts.end(), next_part);
+    next_part += parts.size();
+    daemon.Crash(upstream, parts);
+  }
+  CHECK(daemon.suspects.Evidence().Bytes() <= CrashEvidence::kMaxBytes);
+  daemon.Crash(3, {kDeadly});
+  daemon.now += 1s;
+  CHECK(daemon.Refuses(kDeadly));
+}
+
+// Guards against verdicts on all parts of a long prompt, which would push out
+// all others and each other.
+TEST(PartSuspects, PartsThatAreAlwaysTogetherTakeFewVerdicts) {
+  Daemon daemon;
+  daemon.CrashThrice({kDeadly});
+  std::vector<std::uint64_t> parts(200);
+  std::iota(parts.begin(), parts.end(), 1000);
+  for (std::uint64_t upstream = 10; upstream < 13; ++upstream) {
+    daemon.Crash(upstream, parts);
+  }
+  daemon.now += 1s;
+  CHECK(daemon.Refuses(kDeadly));
+  CHECK(daemon.suspects.RefusalTimeLeft(parts, daemon.now).has_value());
+  CHECK(daemon.suspects.Verdicts(daemon.now).size() <= 1 + 16);
+  // A request without the quarantined ones finds the part at fault.
+  daemon.Crash(13, {parts.back()});
+  daemon.now += 1s;
+  CHECK(daemon.Refuses(parts.back()));
+}
+
 // Guards against unbounded memory for suspected parts, answers and verdicts.
 TEST(PartSuspects, MemoryIsBounded) {
   Daemon daemon;
@@ -383,7 +454,7 @@
     daemon.suspects.Merge({i, 1, 0, 0s, 0s}, daemon.now);
     daemon.now += 1ms;
   }
-  CHECK(daemon.suspects.Size() <= 1024);
+  CHECK(daemon.suspects.Evidence().Bytes() <= CrashEvidence::kMaxBytes);
   CHECK(daemon.suspects.Verdicts(daemon.now).size() <= 64);
   AnsweredParts answered;
   for (std::uint64_t i = 0; i < 10'000; ++i) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -19,6 +19,7 @@
 
 #include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/time.h"
+#include "jasminehatch/detail/forwarder/crash_report_queue.h"
 #include "jasminehatch/detail/json/gossip_message.h"
 #include "jasminehatch/detail/relay/reader_ranking.h"
 
@@ -129,7 +130,8 @@
   /// while.
   void Broadcast(const codec::WeightsUpdate& update);
 
-  /// Includes a crash report in each message for a while.
+  /// Includes a crash report in several messages. Recipients broadcast it too,
+  /// so that it reaches all daemons even if few exchange messages directly.
   void Broadcast(const forwarding::CrashReport& report);
 
   /// Includes origins of streams in the next messages.
@@ -171,11 +173,6 @@
     MonotonicTime until{};
   };
 
-  struct PendingCrashReport {
-    forwarding::CrashReport report;
-    MonotonicTime until{};
-  };
-
   struct PendingOrigin {
     forwarding::StreamOrigin origin;
     int messages_left = 0;
@@ -238,7 +235,7 @@
   ProofHandler m_on_peer_proof;
   std::map<std::string, Peer> m_peers;
   std::vector<PendingWeightsUpdate> m_weights_updates;
-  std::deque<PendingCrashReport> m_crash_reports;
+  CrashReportQueue m_crash_reports;
   std::deque<PendingOrigin> m_stream_origins;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_round = 0;
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -56,13 +56,6 @@
 /// messages may be lost.
 constexpr milliseconds kWeightsUpdateRepeatTime{1000};
 
-/// Maximum number of crash reports in a message.
-constexpr std::size_t kMaxCrashReports = 64;
-
-/// Each crash report is repeated for this long. Recipients broadcast it too, so
-/// that it reaches all daemons even if few exchange messages directly.
-constexpr milliseconds kCrashReportRepeatTime{500};
-
 /// Each origin of a stream is in this number of messages because messages may
 /// be lost.
 constexpr int kOriginMessages = 2;
@@ -495,6 +488,7 @@
   }
   codec::GossipMessage message = MakeMessage();
   message.stream_origins = TakeOrigins();
+  message.crash_reports = m_crash_reports.Take(m_clock.Now());
   SendTo(recipients.own_load_peers, message);
   if (!recipients.zone_load_peers.empty()) {
     message.loads = m_host.ZoneLoads(message.loads);
@@ -507,9 +501,6 @@
   const MonotonicTime now = m_clock.Now();
   std::erase_if(m_weights_updates,
                 [now](const auto& pending) { return pending.until <= now; });
-  while (!m_crash_reports.empty() && m_crash_reports.front().until <= now) {
-    m_crash_reports.pop_front();
-  }
   codec::GossipMessage message;
   message.daemon = m_options.daemon;
   message.address = m_options.advertised_address;
@@ -532,12 +523,6 @@
   for (const PendingWeightsUpdate& pending : m_weights_updates) {
     message.weights_updates.push_back(pending.update);
   }
-  for (const PendingCrashReport& pending : m_crash_reports) {
-    message.crash_reports.push_back(pending.report);
-    // The age is that at the first broadcast.
-    message.crash_reports.back().age +=
-        now - (pending.until - kCrashReportRepeatTime);
-  }
   // Verdicts are in each message, so that a lost message does not matter and a
   // daemon that has restarted learns them at once.
   message.part_verdicts = m_host.State().part_suspects.Verdicts(now);
@@ -584,18 +569,7 @@
 }
 
 void PeerGossip::Broadcast(const forwarding::CrashReport& report) {
-  if (m_crash_reports.size() >= kMaxCrashReports) {
-    // A crash has many victims, and the few reports with parts tell its cause.
-    const auto without_parts =
-        std::find_if(m_crash_reports.begin(), m_crash_reports.end(),
-                     [](const PendingCrashReport& pending) {
-                       return pending.report.parts.empty();
-                     });
-    m_crash_reports.erase(without_parts == m_crash_reports.end()
-                              ? m_crash_reports.begin()
-                              : without_parts);
-  }
-  m_crash_reports.push_back({report, m_clock.Now() + kCrashReportRepeatTime});
+  m_crash_reports.Add(report, m_clock.Now());
 }
 
 void PeerGossip::Share(std::span<const forwarding::StreamOrigin> origins) {
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -221,7 +221,25 @@
   right.gossip.Broadcast(forwarding::CrashReport{5, 6, {7, 8}, 9, 1s});
   CHECK(
       fixture.RunUntil([&] { return left.host.State().crashes.Size() == 2; }));
-  UNSIGNED_LONGS_EQUAL(2, left.host.State().part_suspects.Size());
+  UNSIGNED_LONGS_EQUAL(2, left.host.State().part_suspects.Evidence().Size());
+}
+
+// Guards against a part that is not suspected at other daemons since it stands
+// at the front, or anywhere else, of a long prompt (review/9).
+TEST(PeerGossip, AllPartsOfALongPromptAreReported) {
+  constexpr std::size_t kParts = 3900;
+  GossipFixture fixture;
+  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
+  forwarding::CrashReport report{1, 2, {}, 3, 0s};
+  for (std::uint64_t part = 1; part <= kParts; ++part) {
+    report.parts.push_back(part << 32U);
+  }
+  right.gossip.Broadcast(report);
+  CHECK(fixture.RunUntil([&] {
+    return left.host.State().part_suspects.Evidence().Size() == kParts;
+  }));
 }
 
 // Guards against losing the only report that tells the cause of a crash among
@@ -240,7 +258,7 @@
     right.gossip.Broadcast(forwarding::CrashReport{victim, 1});
   }
   CHECK(fixture.RunUntil(
-      [&] { return left.host.State().part_suspects.Size() == 1; }));
+      [&] { return left.host.State().part_suspects.Evidence().Size() == 1; }));
 }
 
 // Guards against a failure of an upstream that only its observer and the
