Count crashes before the head of the response as weaker evidence

Cause: parts were reported only if the head of a success had arrived, since requests that wait for it are usually victims. Weak evidence was thrown away in place of being weighed.

Crashes before the head count 3 (repeated: 1), those after it 4 (2), and 12 quarantine a part, so that three crashes after the head suffice as before, and four before it. Only a connection that the peer ended counts: StreamEnd tells. A request that waits is not sent again if one of its parts took part in more than one crash. In gossip, such parts stand in a new element, which earlier builds ignore; they would count the crash in full.

--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -41,6 +41,12 @@
 /// daemons append the parts, which earlier ones ignore.
 constexpr std::size_t kShortCrashReportSize = 2;
 
+/// Where a crash report has its prompt parts: those of requests whose response
+/// had not begun stand elsewhere, because earlier daemons would count such a
+/// crash in full.
+constexpr std::size_t kPartsIndex = 3;
+constexpr std::size_t kWaitingPartsIndex = 5;
+
 /// Longest name of a service or version of an origin that is used; a daemon
 /// keeps thousands of origins.
 constexpr std::size_t kMaxOriginNameBytes = 256;
@@ -58,9 +64,13 @@
 json EncodeCrashReport(const forwarding::CrashReport& report) {
   json encoded = json::array({report.fingerprint, report.upstream});
   if (!report.parts.empty()) {
+    const json none = json::array();
     encoded.push_back(report.own_part);
-    encoded.push_back(report.parts);
+    encoded.push_back(report.response_begun ? json(report.parts) : none);
     encoded.push_back(AgeInMilliseconds(report.age));
+    if (!report.response_begun) {
+      encoded.push_back(report.parts);
+    }
   }
   return encoded;
 }
@@ -71,7 +81,10 @@
   report.upstream = ReadInteger<std::uint64_t>(entry.at(1));
   if (entry.size() > kShortCrashReportSize) {
     report.own_part = ReadInteger<std::uint64_t>(entry.at(2));
-    for (const json& part : entry.at(3)) {
+    report.response_begun = entry.size() <= kWaitingPartsIndex;
+    const json& parts =
+        entry.at(report.response_begun ? kPartsIndex : kWaitingPartsIndex);
+    for (const json& part : parts) {
       report.parts.push_back(ReadInteger<std::uint64_t>(part));
     }
     report.age = DecodeAge(entry.at(4));
--- a/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
@@ -16,10 +16,13 @@
   std::uint64_t fingerprint = 0;  ///< Of the request.
   std::uint64_t upstream = 0;     ///< Hash of the upstream's id and start time.
   /// Hashes of the prompt parts that other requests share, if the upstream had
-  /// begun to answer the request and sent no event. Otherwise empty.
+  /// sent no event. Otherwise empty.
   std::vector<std::uint64_t> parts;
   std::uint64_t own_part = 0;  ///< Hash of the part that no other one shares.
   Duration age{};              ///< Since the crash.
+  /// Whether the upstream had sent the head of the response; true without
+  /// parts.
+  bool response_begun = true;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
--- a/packages/core/include/jasminehatch/detail/forwarding/event.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/event.h
@@ -249,6 +249,8 @@
   /// Whether the upstream sent the head of a success response.
   bool response_begun = false;
   ConnectFailure connect_failure = ConnectFailure::kNone;
+  /// Whether the upstream, or its host, closed the connection.
+  bool closed_by_upstream = false;
 };
 
 /// The numbers of other daemons changed.
--- a/packages/core/include/jasminehatch/detail/forwarding/part_crash.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/part_crash.h
@@ -13,6 +13,8 @@
   /// Hash of the part that no other request shares; tells requests apart.
   std::uint64_t own_part = 0;
   MonotonicTime at{};
+  /// Whether the upstream had sent the head of the response to the request.
+  bool response_begun = true;
 };
 
 }  // namespace jasminehatch::forwarding
--- a/packages/core/include/jasminehatch/detail/forwarding/part_suspects.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/part_suspects.h
@@ -20,8 +20,9 @@
 /// @brief Tracks prompt parts that may crash the upstreams that begin to answer
 /// requests with them.
 ///
-/// The request that crashes an upstream has usually received the head of the
-/// response and no event. All shared parts of such a request are suspected. An
+/// The request that crashes an upstream has received no event, and usually the
+/// head of the response. All shared parts of such a request are suspected; one
+/// that waits for the head is weaker evidence, since many do at a time. An
 /// answer to any request with a part shows that the part is sound and discards
 /// the evidence of earlier crashes. A part with enough evidence is quarantined;
 /// the quarantine takes effect after `kObjectionTime`, so that daemons that
--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -77,6 +77,14 @@
   return request.attempt->entry_number == upstream.entry_number;
 }
 
+/// @return whether the upstream may have crashed as it began to answer. A
+/// server that writes the head together with the first event crashes before it;
+/// a connection that was lost on the way says nothing of the upstream.
+bool MayHaveCrashedUpstream(const AttemptEnded& attempt) {
+  return attempt.outcome == AttemptOutcome::kBroken &&
+         (attempt.response_begun || attempt.closed_by_upstream);
+}
+
 /// @param attempt the attempt whose connection to `upstream` was lost
 CrashReport MakeCrashReport(const Request& request,
                             const AttemptEnded& attempt,
@@ -87,10 +95,10 @@
   CrashReport report;
   report.fingerprint = request.arrival.fingerprint;
   report.upstream = StableHash(entry.id, entry.started_at);
-  // Requests that have received an event did not cause the crash, and those
-  // that wait for the head were not being answered.
-  if (attempt.response_begun && !request.attempt->response_started &&
+  // Requests that have received an event did not cause the crash.
+  if (MayHaveCrashedUpstream(attempt) && !request.attempt->response_started &&
       !request.shared_parts.empty()) {
+    report.response_begun = attempt.response_begun;
     report.parts = request.shared_parts;
     report.own_part = StableHash(request.arrival.prompt->parts.back().id);
   }
@@ -572,8 +580,7 @@
     return;
   }
   // Requests that were answered are victims of another one's crash.
-  if (event.outcome == AttemptOutcome::kBroken && event.response_begun &&
-      !answered &&
+  if (MayHaveCrashedUpstream(event) && !answered &&
       m_state.part_suspects.MayCrashAgain(request.shared_parts, m_now)) {
     Refuse(request, {RefusalCode::kUpstreamFailed, event.detail});
     return;
--- a/packages/core/src/forwarding/part_suspects.cc
+++ b/packages/core/src/forwarding/part_suspects.cc
@@ -13,14 +13,32 @@
 
 using std::chrono::milliseconds;
 
-/// Evidence of a crash; a second crash at the same moment, or one of a request
-/// that is repeated, counts half, since both may have another cause. Further
-/// ones at the same moment count nothing: a rack has any number of upstreams.
-constexpr std::uint32_t kFullWeight = 2;
-constexpr std::uint32_t kHalfWeight = 1;
+/// @brief Evidence of a crash. A second crash at the same moment, or one of a
+/// request that is repeated, counts `repeated`, since both may have another
+/// cause. Further ones at the same moment count nothing: a rack has any number
+/// of upstreams.
+struct CrashWeights {
+  std::uint32_t independent = 0;
+  std::uint32_t repeated = 0;
+};
 
-/// Evidence from which a part is quarantined: three independent crashes.
-constexpr std::uint32_t kQuarantineWeight = 3 * kFullWeight;
+/// The upstream had sent the head of the response.
+constexpr CrashWeights kBegunWeights{4, 2};
+
+/// The upstream had sent nothing. Many requests wait for their heads when an
+/// upstream crashes.
+constexpr CrashWeights kWaitingWeights{3, 1};
+
+/// Evidence from which a part is quarantined: three independent crashes of
+/// requests with the head of the response, or four without.
+constexpr std::uint32_t kQuarantineWeight = 3 * kBegunWeights.independent;
+static_assert(kQuarantineWeight == 4 * kWaitingWeights.independent);
+
+/// Evidence from which a part is quarantined again: one crash.
+constexpr std::uint32_t kRenewalWeight = kWaitingWeights.independent;
+
+/// Evidence above which a request with the part is not sent again.
+constexpr std::uint32_t kNoRetryWeight = kBegunWeights.independent;
 
 /// Crashes within this time may have a common cause, such as a rack.
 constexpr milliseconds kMomentSpan{500};
@@ -61,7 +79,8 @@
 
 std::vector<std::uint64_t> PartSuspects::RecordCrash(const CrashReport& report,
                                                      MonotonicTime now) {
-  const PartCrash crash{report.upstream, report.own_part, now - report.age};
+  const PartCrash crash{report.upstream, report.own_part, now - report.age,
+                        report.response_begun};
   std::vector<std::uint64_t> added;
   for (const std::uint64_t part : report.parts) {
     if (AddCrash(part, crash, now)) {
@@ -96,7 +115,10 @@
       in_moment = 0;
     }
     if (++in_moment <= 2) {
-      weight += other_request && other_moment ? kFullWeight : kHalfWeight;
+      const CrashWeights& weights =
+          crash.response_begun ? kBegunWeights : kWaitingWeights;
+      weight += other_request && other_moment ? weights.independent
+                                              : weights.repeated;
     }
   }
   return weight;
@@ -132,7 +154,7 @@
       found != m_verdicts.end() && found->second.epoch % 2 == 1 &&
       now - found->second.changed_at < kVerdictLifetime;
   return WeightOf(part, now) >=
-         (was_quarantined ? kFullWeight : kQuarantineWeight);
+         (was_quarantined ? kRenewalWeight : kQuarantineWeight);
 }
 
 bool PartSuspects::IsExplainedBy(std::uint64_t part,
@@ -262,7 +284,7 @@
 bool PartSuspects::MayCrashAgain(std::span<const std::uint64_t> parts,
                                  MonotonicTime now) const {
   return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
-    return IsQuarantined(part, now) || WeightOf(part, now) > kFullWeight;
+    return IsQuarantined(part, now) || WeightOf(part, now) > kNoRetryWeight;
   });
 }
 
--- a/packages/core/tests/forwarding_fixture.cc
+++ b/packages/core/tests/forwarding_fixture.cc
@@ -139,11 +139,12 @@
   return effects;
 }
 
-Effects ForwardingFixture::Crash() {
+Effects ForwardingFixture::Crash(bool response_begun) {
   const std::string upstream = m_upstream;
   AttemptEnded ended{NewestRequest(), m_attempt, AttemptOutcome::kBroken, "",
                      "test"};
-  ended.response_begun = true;
+  ended.response_begun = response_begun;
+  ended.closed_by_upstream = true;
   auto effects = Apply(ended);
   RecordAttempt(effects);
   Apply(UpstreamRemoved{upstream});
--- a/packages/core/tests/forwarding_fixture.h
+++ b/packages/core/tests/forwarding_fixture.h
@@ -64,9 +64,10 @@
   Effects End(AttemptOutcome outcome, const std::string& last_event = "");
 
   /// Ends the latest attempt of the latest request as if its upstream had
-  /// crashed after the head of the response, and removes the upstream.
+  /// crashed, and removes the upstream.
+  /// @param response_begun whether the head of the response had arrived
   /// @return the effects of the end
-  Effects Crash();
+  Effects Crash(bool response_begun = true);
 
   /// Answers the latest attempt of the latest request with its first event.
   /// @return the effects
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -378,6 +378,66 @@
   CHECK_FALSE(other.suspects.TryProbe(parts, 0, other.now));
 }
 
+// Guards against a part that crashes one upstream after the other since they
+// crash before the head of the response has left them (review/10).
+TEST(PartSuspects, CrashesBeforeTheHeadAreEvidence) {
+  ForwardingFixture fixture;
+  AddEngines(fixture);
+  for (int crash = 0; crash < 4; ++crash) {
+    CHECK(Starts(fixture.SendParts({"common", "deadly"})));
+    fixture.Crash(/*response_begun=*/false);
+    fixture.Wait(400ms);
+    CHECK(Starts(fixture.SendParts({"common", "document"})));
+    fixture.Answer();
+    fixture.Wait(400ms);
+    fixture.Confirm();
+  }
+  fixture.Wait(1s);
+  fixture.Confirm();
+  CHECK(IsRefusedAsSuspect(fixture.SendParts({"common", "deadly"})));
+  CHECK(Starts(fixture.SendParts({"common", "document"})));
+}
+
+// Guards against convicting a part of requests that wait for their heads when
+// upstreams crash for another reason: it takes more such crashes.
+TEST(PartSuspects, CrashesBeforeTheHeadCountLess) {
+  Daemon daemon;
+  for (std::uint64_t upstream = 0; upstream < 4; ++upstream) {
+    daemon.now += 1s;
+    CHECK_FALSE(daemon.Refuses(kOther));
+    CrashReport report = Report(upstream, {kOther});
+    report.response_begun = false;
+    daemon.suspects.RecordCrash(report, daemon.now);
+  }
+  daemon.now += 1s;
+  CHECK(daemon.Refuses(kOther));
+}
+
+// Guards against convicting a part that waiting requests share when all
+// connections are reset at once, as by a network device that restarts.
+TEST(PartSuspects, ResetsOfAllConnectionsAreNoSufficientEvidence) {
+  Daemon daemon;
+  for (std::uint64_t upstream = 0; upstream < 12; ++upstream) {
+    CrashReport report = Report(upstream, {kOther});
+    report.response_begun = false;
+    daemon.suspects.RecordCrash(report, daemon.now);
+    daemon.now += 20ms;
+  }
+  daemon.now += 1s;
+  CHECK_FALSE(daemon.Refuses(kOther));
+}
+
+// Guards against taking a connection that was lost on the way to an upstream
+// for a crash of the upstream.
+TEST(PartSuspects, ALostConnectionIsNoCrash) {
+  ForwardingFixture fixture;
+  AddEngines(fixture);
+  CHECK(Starts(fixture.SendParts({"common", "document"})));
+  fixture.End(AttemptOutcome::kBroken);
+  UNSIGNED_LONGS_EQUAL(0,
+                       fixture.CurrentState().part_suspects.Evidence().Size());
+}
+
 // Guards against a part that is not suspected since other shared parts follow
 // or precede it in a long prompt (review/9).
 TEST(PartSuspects, APartIsFoundWhereverItStandsInALongPrompt) {
--- a/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/forwarding_host.h
@@ -158,7 +158,8 @@
                   forwarding::AttemptOutcome outcome,
                   std::string detail,
                   forwarding::ConnectFailure connect_failure =
-                      forwarding::ConnectFailure::kNone);
+                      forwarding::ConnectFailure::kNone,
+                  bool closed_by_upstream = false);
   void LogResponse(const ActiveRequest& active);
   ActiveRequest* FindAttempt(RequestId id, AttemptId attempt);
   void ArmTimer();
--- a/packages/daemon/src/forwarder/forwarding_host.cc
+++ b/packages/daemon/src/forwarder/forwarding_host.cc
@@ -491,13 +491,15 @@
   if (detail.empty() && active->head.status != 0) {
     detail = "status " + std::to_string(active->head.status);
   }
-  EndAttempt(id, outcome, std::move(detail), ToConnectFailure(end));
+  EndAttempt(id, outcome, std::move(detail), ToConnectFailure(end),
+             end.closed_by_peer || end.ended_by_close);
 }
 
 void ForwardingHost::EndAttempt(RequestId id,
                                 AttemptOutcome outcome,
                                 std::string detail,
-                                ConnectFailure connect_failure) {
+                                ConnectFailure connect_failure,
+                                bool closed_by_upstream) {
   const ActiveRequest& active = m_active_requests.at(id);
   if (outcome != AttemptOutcome::kCompleted) {
     const std::array fields{DecisionLogField{"request", active.caller_id},
@@ -507,7 +509,7 @@
   }
   Apply(forwarding::AttemptEnded{
       id, active.attempt, outcome, active.last_event_id, std::move(detail),
-      active.head.status / 100 == 2, connect_failure});
+      active.head.status / 100 == 2, connect_failure, closed_by_upstream});
 }
 
 void ForwardingHost::Execute(const forwarding::CancelAttempt& effect) {
--- a/packages/net/include/jasminehatch/detail/stream/stream_client.h
+++ b/packages/net/include/jasminehatch/detail/stream/stream_client.h
@@ -59,6 +59,8 @@
   /// The response had neither a length nor chunks and ended with its
   /// connection.
   bool ended_by_close = false;
+  /// The upstream, or its host, closed or reset the connection.
+  bool closed_by_peer = false;
 
   /// @brief Why there was no connection.
   enum class ConnectError {
--- a/packages/net/src/stream/stream_client.cc
+++ b/packages/net/src/stream/stream_client.cc
@@ -62,6 +62,12 @@
   return read_error == asio::error::eof && is_lost ? write_error : read_error;
 }
 
+/// @return whether the peer, or its host, ended the connection like this
+bool IsClosedByPeer(const asio::error_code& end) {
+  return end == asio::error::eof || end == asio::error::connection_reset ||
+         end == asio::error::broken_pipe;
+}
+
 /// Informational responses (status 1xx) that are skipped before a response.
 constexpr std::size_t kMaxInformationalResponses = 16;
 
@@ -140,6 +146,7 @@
     asio::error_code write_error;
     bool head_received = false;
     bool ended_by_close = false;
+    bool closed_by_peer = false;
   };
   using CallPtr = std::shared_ptr<Call>;
 
@@ -351,6 +358,7 @@
     if (!call->head_received) {
       RecordSilentDrop(*connection);
     }
+    call->closed_by_peer = IsClosedByPeer(end);
     Finish(id, StreamEnd::Kind::kBroken, end.message());
     return;
   }
@@ -478,7 +486,8 @@
   }
   if (call->callbacks.on_end) {
     call->callbacks.on_end({kind, call->head_received, std::move(detail),
-                            call->ended_by_close, connect_error});
+                            call->ended_by_close, call->closed_by_peer,
+                            connect_error});
   }
 }
 
--- a/packages/net/tests/stream_test.cc
+++ b/packages/net/tests/stream_test.cc
@@ -223,6 +223,7 @@
       CallOnce("HTTP/1.1 200 OK\r\nContent-", AfterResponse::kClose);
   CHECK(head.end.kind == StreamEnd::Kind::kBroken);
   CHECK_FALSE(head.end.head_received);
+  CHECK(head.end.closed_by_peer);
 }
 
 // Guards against a response without a length that is treated as complete after
@@ -235,6 +236,7 @@
   STRCMP_EQUAL("abc", closed.body.c_str());
   const auto reset = CallOnce(response, RawUpstream::AfterResponse::kReset);
   CHECK(reset.end.kind == StreamEnd::Kind::kBroken);
+  CHECK(reset.end.closed_by_peer);
 }
 
 // Guards against bytes that are not HTTP and are taken for a response.
