Tell a daemon that has started which requests are refused

Cause: reports on requests are told for half a second, so that a process that starts later never hears of them.

For the first 2 s of a peer's process, messages to it hold reports on the 50 latest refused requests, with the age that ends its refusal at the same time.

--- a/packages/codec/src/json/gossip_message.cc
+++ b/packages/codec/src/json/gossip_message.cc
@@ -63,7 +63,7 @@
 
 json EncodeCrashReport(const forwarding::CrashReport& report) {
   json encoded = json::array({report.fingerprint, report.upstream});
-  if (!report.parts.empty()) {
+  if (!report.parts.empty() || report.age > Duration::zero()) {
     const json none = json::array();
     encoded.push_back(report.own_part);
     encoded.push_back(report.response_begun ? json(report.parts) : none);
--- a/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/crash_suspects.h
@@ -43,6 +43,14 @@
   std::optional<Duration> RefusalTimeLeft(std::uint64_t fingerprint,
                                           MonotonicTime now) const;
 
+  /// @return reports from which a daemon that has just started learns which
+  /// requests are refused, and for how long; of the `kMaxRefusedReported`
+  /// latest ones. They name no real upstream.
+  std::vector<CrashReport> ReportsOnRefused(MonotonicTime now) const;
+
+  /// Limits the size of a message to a new daemon.
+  static constexpr std::size_t kMaxRefusedReported = 50;
+
   /// @return the number of tracked requests
   std::size_t Size() const { return m_requests.Size(); }
 
--- a/packages/core/include/jasminehatch/detail/serving/crash_table.h
+++ b/packages/core/include/jasminehatch/detail/serving/crash_table.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "jasminehatch/detail/base/digest.h"
 #include "jasminehatch/detail/base/time.h"
@@ -54,6 +55,11 @@
   std::optional<Duration> QuarantineLeft(const Fingerprint& fingerprint,
                                          MonotonicTime now) const;
 
+  /// @return up to `max_count` quarantined fingerprints, the most recently
+  /// changed first
+  std::vector<Fingerprint> Quarantined(std::size_t max_count,
+                                       MonotonicTime now) const;
+
   std::size_t Size() const { return m_entries.size(); }
 
  private:
--- a/packages/core/src/forwarding/crash_suspects.cc
+++ b/packages/core/src/forwarding/crash_suspects.cc
@@ -1,5 +1,6 @@
 #include "jasminehatch/detail/forwarding/crash_suspects.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstring>
 
@@ -29,8 +30,8 @@
 bool CrashSuspects::Record(const CrashReport& report, MonotonicTime now) {
   const Fingerprint pair = MakeKey(report.fingerprint, report.upstream);
   const Fingerprint request = MakeKey(report.fingerprint);
-  const MonotonicTime until = now + kReportLifetime;
-  if (m_reports.IsSuspect(pair, now) ||
+  const MonotonicTime until = now - report.age + kReportLifetime;
+  if (until <= now || m_reports.IsSuspect(pair, now) ||
       m_requests.IsQuarantined(request, now)) {
     return false;
   }
@@ -47,4 +48,23 @@
   return m_requests.QuarantineLeft(MakeKey(fingerprint), now);
 }
 
+std::vector<CrashReport> CrashSuspects::ReportsOnRefused(
+    MonotonicTime now) const {
+  std::vector<CrashReport> reports;
+  for (const Fingerprint& request :
+       m_requests.Quarantined(kMaxRefusedReported, now)) {
+    CrashReport report;
+    std::memcpy(&report.fingerprint, request.bytes.data(),
+                sizeof(report.fingerprint));
+    report.age =
+        std::max(Duration::zero(),
+                 kReportLifetime - *m_requests.QuarantineLeft(request, now));
+    for (std::uint32_t crash = 0; crash < kCrashLimit; ++crash) {
+      report.upstream = crash;
+      reports.push_back(report);
+    }
+  }
+  return reports;
+}
+
 }  // namespace jasminehatch::forwarding
--- a/packages/core/src/serving/crash_table.cc
+++ b/packages/core/src/serving/crash_table.cc
@@ -78,4 +78,17 @@
   return found->second.until - now;
 }
 
+std::vector<Fingerprint> CrashTable::Quarantined(std::size_t max_count,
+                                                 MonotonicTime now) const {
+  std::vector<Fingerprint> found;
+  for (auto fingerprint = m_quarantined.rbegin();
+       fingerprint != m_quarantined.rend() && found.size() < max_count;
+       ++fingerprint) {
+    if (IsQuarantined(*fingerprint, now)) {
+      found.push_back(*fingerprint);
+    }
+  }
+  return found;
+}
+
 }  // namespace jasminehatch::serving
--- a/packages/core/tests/forwarding_structures_test.cc
+++ b/packages/core/tests/forwarding_structures_test.cc
@@ -99,6 +99,42 @@
   CHECK_FALSE(suspects.RefusalTimeLeft(1, now + 1h));
 }
 
+// Guards against a daemon that starts, and sends a request which crashed three
+// upstreams to three more, since the others do not tell it (review/5).
+TEST(ForwardingStructures, AStartingDaemonLearnsWhichRequestsAreRefused) {
+  CrashSuspects suspects;
+  for (std::uint64_t upstream = 10; upstream < 13; ++upstream) {
+    suspects.Record({1, upstream}, now);
+  }
+  suspects.Record({2, 10}, now);
+  const auto later = now + 4min;
+  CrashSuspects starting;
+  for (const CrashReport& report : suspects.ReportsOnRefused(later)) {
+    CHECK(starting.Record(report, later));
+  }
+  CHECK(suspects.RefusalTimeLeft(1, later) ==
+        starting.RefusalTimeLeft(1, later));
+  CHECK_FALSE(starting.RefusalTimeLeft(2, later));
+  CHECK(suspects.ReportsOnRefused(now + 1h).empty());
+  // Reports that daemons tell each other do not extend the refusal.
+  for (const CrashReport& report : starting.ReportsOnRefused(later)) {
+    CHECK_FALSE(suspects.Record(report, later));
+  }
+}
+
+// Guards against messages that grow with the number of refused requests.
+TEST(ForwardingStructures, ReportsOnRefusedRequestsAreBounded) {
+  CrashSuspects suspects;
+  for (std::uint64_t request = 0; request < 200; ++request) {
+    for (std::uint64_t upstream = 0; upstream < 3; ++upstream) {
+      suspects.Record({request, upstream}, now);
+    }
+  }
+  const auto reports = suspects.ReportsOnRefused(now);
+  UNSIGNED_LONGS_EQUAL(3 * CrashSuspects::kMaxRefusedReported, reports.size());
+  UNSIGNED_LONGS_EQUAL(199, reports.front().fingerprint);
+}
+
 // Guards against unbounded memory for crash reports.
 TEST(ForwardingStructures, CrashReportsAreBounded) {
   CrashSuspects suspects;
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -43,8 +43,9 @@
 /// decrease.
 constexpr milliseconds kLivenessTimeout{2000};
 
-/// A daemon gets the ages of all published weights that matter for this long
-/// after its start, since it cannot learn them from the operators' records.
+/// A daemon gets the ages of all published weights that matter, and the
+/// requests that are refused, for this long after its start, since it cannot
+/// learn them from the operators' records.
 constexpr milliseconds kNewPeerTime{2000};
 
 /// The ages of the versions of a model are in each message until the newest one
@@ -546,10 +547,16 @@
   const auto all = upstreams.PublicationAges(now, limit, Duration::max());
   const auto young =
       upstreams.PublicationAges(now, limit, limit * kYoungPublicationFactor);
+  const std::vector<forwarding::CrashReport> new_reports =
+      message.crash_reports;
+  std::vector<forwarding::CrashReport> all_reports =
+      m_host.State().crashes.ReportsOnRefused(now);
+  all_reports.insert(all_reports.end(), new_reports.begin(), new_reports.end());
   message.sequence = ++m_sequence;
   for (const Peer* peer : peers) {
     const bool is_new = now - peer->incarnation_seen_at <= kNewPeerTime;
     message.publications = is_new ? all : young;
+    message.crash_reports = is_new ? all_reports : new_reports;
     message.echo_ms = peer->last_sent_ms;
     message.echo_incarnation = peer->incarnation;
     const std::string bytes = message.Encode();
