--- a/packages/soak/include/jasminehatch/detail/soak/soak_run.h
+++ b/packages/soak/include/jasminehatch/detail/soak/soak_run.h
@@ -30,6 +30,8 @@
  public:
   struct Options {
     std::string bin_dir;
+    /// Of the build that half of all starts of daemons use; empty for none.
+    std::string other_bin_dir;
     std::string work_dir;  ///< Holds settings and logs of the daemons.
     std::uint64_t seed = 1;
     std::chrono::seconds fault_time{15};
@@ -90,6 +92,9 @@
 
   void StartUpstream(std::size_t index);
   void StartDaemon(std::size_t index);
+  /// @return the folder of the build for the next start of a daemon. Each
+  /// daemon changes its build at each start, and half begin with either.
+  const std::string& BinDirFor(std::size_t index) const;
   void WriteSettings(const Daemon& daemon);
   /// Publishes the keys that are in force.
   void WriteConfiguration();
--- a/packages/soak/main/main.cc
+++ b/packages/soak/main/main.cc
@@ -15,6 +15,10 @@
 #include "jasminehatch/detail/soak/soak_run.h"
 
 DEFINE_string(bin_dir, "build/bin", "folder of the programs");
+DEFINE_string(other_bin_dir,
+              "",
+              "folder of the daemon of another build, which half of all starts "
+              "use, as during an upgrade; empty for none");
 DEFINE_uint64(seed, 1, "first seed");
 DEFINE_uint64(seeds, 1, "number of seeds, one after another");
 DEFINE_string(seed_file, "", "file with one seed a line; # starts a comment");
@@ -55,6 +59,7 @@
   std::cout << "seed " << seed << '\n';
   jasminehatch::soak::SoakRun::Options options;
   options.bin_dir = FLAGS_bin_dir;
+  options.other_bin_dir = FLAGS_other_bin_dir;
   options.work_dir = folder;
   options.seed = seed;
   options.fault_time = std::chrono::seconds(FLAGS_seconds);
--- a/packages/soak/src/soak_run.cc
+++ b/packages/soak/src/soak_run.cc
@@ -251,13 +251,19 @@
          "retry_ratio = 0.2\nretry_slack = 50\nretry_window = 10s\n";
 }
 
+const std::string& SoakRun::BinDirFor(std::size_t index) const {
+  const bool other =
+      (m_options.seed + index + m_daemons[index].starts) % 2 == 1;
+  return other && !m_options.other_bin_dir.empty() ? m_options.other_bin_dir
+                                                   : m_options.bin_dir;
+}
+
 void SoakRun::StartDaemon(std::size_t index) {
   Daemon& daemon = m_daemons[index];
   WriteSettings(daemon);
-  daemon.process =
-      testing::Process::Start({m_options.bin_dir + "/jasminehatchd",
-                               "--settings", daemon.settings_file},
-                              m_options.work_dir + "/" + daemon.name + ".log");
+  daemon.process = testing::Process::Start(
+      {BinDirFor(index) + "/jasminehatchd", "--settings", daemon.settings_file},
+      m_options.work_dir + "/" + daemon.name + ".log");
   ++daemon.starts;
   daemon.disturbed_at = Now();
   daemon.stopping = false;
