Take the table of peers out of PeerGossip

A message is passed by value, so that what is for one recipient does not reach the next; nothing else changes.

--- a/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
+++ b/packages/daemon/include/jasminehatch/detail/forwarder/peer_gossip.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -20,8 +19,8 @@
 #include "jasminehatch/detail/base/log_position.h"
 #include "jasminehatch/detail/base/time.h"
 #include "jasminehatch/detail/forwarder/crash_report_queue.h"
+#include "jasminehatch/detail/forwarder/gossip_peers.h"
 #include "jasminehatch/detail/json/gossip_message.h"
-#include "jasminehatch/detail/relay/reader_ranking.h"
 
 namespace asio {
 class io_context;
@@ -46,9 +45,9 @@
 /// @brief Exchanges load reports, weight changes, ages of published weights,
 /// crash reports and freshness proofs with other daemons over UDP.
 ///
-/// Daemons find each other in a topic of the platform's store. Gossip improves
-/// decisions, but no guarantee depends on its delivery, so lost or late
-/// messages are harmless.
+/// Daemons find each other in a topic of the platform's store. No guarantee
+/// depends on the delivery of a single message: what must not be missed is
+/// repeated.
 class PeerGossip {
  public:
   struct Options {
@@ -97,22 +96,7 @@
     m_on_peer_proof = std::move(on_peer_proof);
   }
 
-  /// @return the number of live peers
-  std::size_t LivePeerCount() const;
-
-  /// @return the number of live peers whose name sorts before this daemon's
-  std::size_t Rank() const;
-
-  /// @return the live peers of this daemon's zone that relay feeds
-  std::vector<relay::ReaderCandidate> LiveZonePeers() const;
-
-  /// @return the number of daemons of this daemon's zone, with itself, that
-  /// relay feeds and were heard of within the last minute
-  std::size_t RecentZoneDaemons() const;
-
-  /// @return the number of zones with a known daemon whose name sorts before
-  /// this daemon's zone
-  std::size_t ZoneIndex() const;
+  const GossipPeers& Peers() const { return m_peers; }
 
   /// Sends a datagram to a peer; ignored for an unknown peer.
   void SendDatagram(const std::string& peer, std::string_view bytes);
@@ -149,25 +133,6 @@
   void Stop();
 
  private:
-  struct Peer {
-    asio::ip::udp::endpoint endpoint;
-    std::string zone;
-    std::uint64_t incarnation = 0;
-    /// When this daemon first heard of the incarnation.
-    MonotonicTime incarnation_seen_at{};
-    std::uint64_t last_sequence = 0;  ///< Of the newest message received.
-    MonotonicTime last_seen_at{};
-    /// Of the newest message received, on the peer's clock.
-    std::uint64_t last_sent_ms = 0;
-    /// Whether the peer is known from a message, not only from the store.
-    bool message_received = false;
-    /// Relative capacity of its VM; nothing if it does not relay feeds.
-    std::optional<double> capacity;
-    bool stopping = false;  ///< It was asked to stop.
-    /// Whether the first message of the incarnation was answered.
-    bool answered = false;
-  };
-
   struct PendingWeightsUpdate {
     codec::WeightsUpdate update;
     MonotonicTime until{};
@@ -178,10 +143,6 @@
     int messages_left = 0;
   };
 
-  /// @return whether the peer has sent a message recently
-  static bool IsHeard(const Peer& peer, MonotonicTime now);
-  /// @return whether the peer is heard and was not asked to stop
-  static bool IsLive(const Peer& peer, MonotonicTime now);
   void Register();
   void RegisterAfter(std::chrono::milliseconds delay);
   void ReadPeers();
@@ -191,29 +152,17 @@
   /// Reads the addresses again if upstreams have a warm-up, as soon as the
   /// configuration is known.
   void RepeatReadAfter(std::chrono::milliseconds delay);
-  void AddOrUpdatePeer(const std::string& name,
-                       const std::string& address,
-                       const std::string& zone,
-                       std::uint64_t incarnation);
   void Receive();
   void OnMessage(std::string_view data);
   /// Sends a message at once to a peer that has not had one since its first. A
   /// daemon that starts waits for some; in a large fleet, it is rarely among
   /// the recipients of `Send`.
-  void AnswerFirstMessage(Peer& peer);
-
-  /// @brief The recipients of the next messages.
-  struct Recipients {
-    /// Receive this daemon's own load.
-    std::vector<const Peer*> own_load_peers;
-    /// Receive the load of the whole zone.
-    std::vector<const Peer*> zone_load_peers;
-  };
+  void AnswerFirstMessage(GossipPeer& peer);
 
   void Send();
-  void SendTo(const std::vector<const Peer*>& peers,
-              codec::GossipMessage& message);
-  Recipients ChooseRecipients();
+  /// Sends a message, with what only new peers need to those.
+  void SendTo(const std::vector<const GossipPeer*>& peers,
+              codec::GossipMessage message);
   /// @return a message without what is sent only a limited number of times
   codec::GossipMessage MakeMessage();
   std::vector<forwarding::StreamOrigin> TakeOrigins();
@@ -233,12 +182,11 @@
   DatagramHandler m_on_datagram;
   ProofSource m_get_own_proof;
   ProofHandler m_on_peer_proof;
-  std::map<std::string, Peer> m_peers;
+  GossipPeers m_peers;
   std::vector<PendingWeightsUpdate> m_weights_updates;
   CrashReportQueue m_crash_reports;
   std::deque<PendingOrigin> m_stream_origins;
   std::uint64_t m_sequence = 0;
-  std::uint64_t m_round = 0;
   std::size_t m_list_repeats = 0;
   std::mt19937_64 m_random{std::random_device{}()};
   bool m_stop_announced = false;
--- a/packages/daemon/src/forwarder/forwarder.cc
+++ b/packages/daemon/src/forwarder/forwarder.cc
@@ -374,7 +374,8 @@
 }
 
 void Forwarder::Impl::UpdateCacheStoreFollowers() {
-  const std::size_t daemons = 1 + (m_gossip ? m_gossip->LivePeerCount() : 0);
+  const std::size_t daemons =
+      1 + (m_gossip ? m_gossip->Peers().LiveCount() : 0);
   m_registry.SetPause(RegistryPause(m_settings, daemons));
   m_cache_stores.Update(daemons, FreeingRank(), m_relay.get());
 }
@@ -385,8 +386,8 @@
   }
   // Where feeds are relayed, only one daemon of each zone frees parts.
   return m_registry.Role() == relay::FeedRole::kIndependent
-             ? m_gossip->Rank()
-             : m_gossip->ZoneIndex();
+             ? m_gossip->Peers().Rank()
+             : m_gossip->Peers().ZoneIndex();
 }
 
 void Forwarder::Impl::OnRegistryKnown() {
--- a/packages/daemon/src/forwarder/freshness_proof_renewal.cc
+++ b/packages/daemon/src/forwarder/freshness_proof_renewal.cc
@@ -114,7 +114,8 @@
     case relay::FeedRole::kIndependent:
       break;
   }
-  const bool large = m_gossip && m_gossip->LivePeerCount() > kLargeFleetSize;
+  const bool large =
+      m_gossip && m_gossip->Peers().LiveCount() > kLargeFleetSize;
   const double max_jitter =
       large ? kLargeFleetProofJitterFraction : kProofJitterFraction;
   return kProofRenewFraction + max_jitter * m_jitter;
--- a/packages/daemon/src/forwarder/peer_gossip.cc
+++ b/packages/daemon/src/forwarder/peer_gossip.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -26,23 +25,6 @@
 
 constexpr milliseconds kSendInterval{100};
 
-/// Maximum number of recipients of a message. In a larger fleet they are a new
-/// random sample of the daemons in the same zone each time.
-constexpr std::size_t kMaxRecipients = 8;
-
-/// In a larger fleet, one round in this many also sends the load of the whole
-/// zone to a daemon of another zone. Traffic between zones is expensive.
-constexpr std::uint64_t kRoundsPerOtherZoneMessage = 2;
-
-/// A daemon that was not heard of for this long gets no messages. Until then
-/// it gets them even if it is no longer considered live.
-constexpr milliseconds kPeerTimeout{6000};
-
-/// A daemon that sent a message within this time is considered live, unless it
-/// is stopping: it counts in `LivePeerCount` and `Rank`. Its incarnation cannot
-/// decrease.
-constexpr milliseconds kLivenessTimeout{2000};
-
 /// A daemon gets the ages of all published weights that matter, and the
 /// requests that are refused, for this long after its start, since it cannot
 /// learn them from the operators' records.
@@ -64,10 +46,6 @@
 /// Maximum number of origins that wait to be sent; the oldest are dropped.
 constexpr std::size_t kMaxPendingOrigins = 8192;
 
-/// The fleet's allowance of retries is divided by the number of daemons that
-/// were heard of within this time, because each may have used its part of it.
-constexpr std::chrono::seconds kRecentPeerAge{60};
-
 constexpr milliseconds kRegisterRetryDelay{1000};
 
 /// Maximum delay before a daemon writes its address again, so that the daemons
@@ -95,7 +73,8 @@
       m_options(options),
       m_socket(loop),
       m_send_timer(loop),
-      m_register_timer(loop) {
+      m_register_timer(loop),
+      m_peers(clock, options.daemon, options.zone) {
   if (m_options.advertised_address.empty()) {
     m_options.advertised_address = m_options.address;
   }
@@ -185,8 +164,8 @@
         for (const platform::StoreRecord& record : page.records) {
           try {
             const auto found = codec::DaemonAddress::Decode(record.value);
-            AddOrUpdatePeer(record.key, found.address, found.zone,
-                            found.incarnation);
+            m_peers.AddOrUpdate(record.key, found.address, found.zone,
+                                found.incarnation);
             if (record.key != m_options.daemon) {
               listed.peers.push_back({record.key, found.zone});
             }
@@ -217,12 +196,7 @@
     // Peers answer the first message, and tell which configuration they have.
     Send();
   } else {
-    std::vector<const Peer*> peers;
-    for (const auto& [name, peer] : m_peers) {
-      peers.push_back(&peer);
-    }
-    codec::GossipMessage message = MakeMessage();
-    SendTo(peers, message);
+    SendTo(m_peers.All(), MakeMessage());
   }
   if (m_list_repeats == kListRepeatDelays.size()) {
     return;
@@ -249,37 +223,6 @@
       }));
 }
 
-void PeerGossip::AddOrUpdatePeer(const std::string& name,
-                                 const std::string& address,
-                                 const std::string& zone,
-                                 std::uint64_t incarnation) {
-  const auto parsed = net::ParseIpPort(address);
-  if (name.empty() || name == m_options.daemon || !parsed) {
-    return;
-  }
-  asio::error_code error;
-  const udp::endpoint endpoint(asio::ip::make_address(parsed->ip, error),
-                               parsed->port);
-  Peer& peer = m_peers[name];
-  // A daemon whose wall clock was set back may restart with a lower
-  // incarnation, which is accepted once the earlier process is no longer live.
-  if (error ||
-      (incarnation < peer.incarnation && IsHeard(peer, m_clock.Now()))) {
-    return;
-  }
-  if (incarnation != peer.incarnation) {
-    peer.incarnation_seen_at = m_clock.Now();
-    peer.last_sequence = 0;
-    peer.last_sent_ms = 0;
-    peer.stopping = false;
-    peer.answered = false;
-  }
-  peer.endpoint = endpoint;
-  peer.zone = zone;
-  peer.incarnation = incarnation;
-  peer.last_seen_at = m_clock.Now();
-}
-
 void PeerGossip::Receive() {
   m_socket.async_receive_from(
       asio::buffer(m_buffer), m_sender,
@@ -314,20 +257,19 @@
   if (message.daemon == m_options.daemon) {
     return;
   }
-  AddOrUpdatePeer(message.daemon, message.address, message.zone,
-                  message.incarnation);
-  const auto found = m_peers.find(message.daemon);
-  if (found == m_peers.end() ||
-      found->second.incarnation != message.incarnation ||
-      message.sequence <= found->second.last_sequence) {
+  m_peers.AddOrUpdate(message.daemon, message.address, message.zone,
+                      message.incarnation);
+  GossipPeer* peer = m_peers.Find(message.daemon);
+  if (peer == nullptr || peer->incarnation != message.incarnation ||
+      message.sequence <= peer->last_sequence) {
     return;
   }
-  found->second.last_sequence = message.sequence;
-  found->second.last_sent_ms = message.sent_ms;
-  found->second.message_received = true;
-  found->second.capacity = message.capacity;
-  found->second.stopping = message.stopping;
-  AnswerFirstMessage(found->second);
+  peer->last_sequence = message.sequence;
+  peer->last_sent_ms = message.sent_ms;
+  peer->message_received = true;
+  peer->capacity = message.capacity;
+  peer->stopping = message.stopping;
+  AnswerFirstMessage(*peer);
   if (message.freshness_proof_age_ms) {
     m_host.Apply(forwarding::OperatorRecordsAnnounced{message.operator_end});
   }
@@ -377,113 +319,31 @@
   }
 }
 
-void PeerGossip::AnswerFirstMessage(Peer& peer) {
+void PeerGossip::AnswerFirstMessage(GossipPeer& peer) {
   if (!std::exchange(peer.answered, true)) {
-    codec::GossipMessage message = MakeMessage();
-    SendTo({&peer}, message);
-  }
-}
-
-PeerGossip::Recipients PeerGossip::ChooseRecipients() {
-  const MonotonicTime now = m_clock.Now();
-  std::vector<const Peer*> same_zone;
-  std::vector<const Peer*> other_zones;
-  std::size_t recent = 0;
-  for (const auto& [name, peer] : m_peers) {
-    recent += now - peer.last_seen_at <= kRecentPeerAge ? 1 : 0;
-    if (now - peer.last_seen_at <= kPeerTimeout) {
-      (peer.zone == m_options.zone ? same_zone : other_zones).push_back(&peer);
-    }
-  }
-  if (same_zone.size() + other_zones.size() <= kMaxRecipients) {
-    m_host.Apply(forwarding::PeerCountsChanged{
-        same_zone.size() + other_zones.size(), recent});
-    same_zone.insert(same_zone.end(), other_zones.begin(), other_zones.end());
-    return {std::move(same_zone), {}};
-  }
-  // In a large fleet, only daemons of the same zone send individual reports of
-  // their load.
-  m_host.Apply(forwarding::PeerCountsChanged{same_zone.size(), recent});
-  std::shuffle(same_zone.begin(), same_zone.end(), m_random);
-  std::shuffle(other_zones.begin(), other_zones.end(), m_random);
-  same_zone.resize(std::min(same_zone.size(), kMaxRecipients - 1));
-  const bool to_other_zone = ++m_round % kRoundsPerOtherZoneMessage == 0;
-  other_zones.resize(
-      std::min<std::size_t>(other_zones.size(), to_other_zone ? 1 : 0));
-  return {std::move(same_zone), std::move(other_zones)};
-}
-
-bool PeerGossip::IsHeard(const Peer& peer, MonotonicTime now) {
-  return peer.message_received && now - peer.last_seen_at <= kLivenessTimeout;
-}
-
-bool PeerGossip::IsLive(const Peer& peer, MonotonicTime now) {
-  return IsHeard(peer, now) && !peer.stopping;
-}
-
-std::size_t PeerGossip::LivePeerCount() const {
-  const MonotonicTime now = m_clock.Now();
-  return static_cast<std::size_t>(std::count_if(
-      m_peers.begin(), m_peers.end(),
-      [now](const auto& entry) { return IsLive(entry.second, now); }));
-}
-
-std::size_t PeerGossip::Rank() const {
-  const MonotonicTime now = m_clock.Now();
-  return static_cast<std::size_t>(std::count_if(
-      m_peers.begin(), m_peers.lower_bound(m_options.daemon),
-      [now](const auto& entry) { return IsLive(entry.second, now); }));
-}
-
-std::vector<relay::ReaderCandidate> PeerGossip::LiveZonePeers() const {
-  const MonotonicTime now = m_clock.Now();
-  std::vector<relay::ReaderCandidate> peers;
-  for (const auto& [name, peer] : m_peers) {
-    if (peer.zone == m_options.zone && peer.capacity && IsLive(peer, now)) {
-      peers.push_back({name, *peer.capacity});
-    }
-  }
-  return peers;
-}
-
-std::size_t PeerGossip::RecentZoneDaemons() const {
-  const MonotonicTime now = m_clock.Now();
-  return 1 + static_cast<std::size_t>(std::count_if(
-                 m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-                   const Peer& peer = entry.second;
-                   return peer.zone == m_options.zone && peer.capacity &&
-                          now - peer.last_seen_at <= kRecentPeerAge;
-                 }));
-}
-
-std::size_t PeerGossip::ZoneIndex() const {
-  std::set<std::string_view> zones;
-  for (const auto& [name, peer] : m_peers) {
-    if (peer.zone < m_options.zone) {
-      zones.insert(peer.zone);
-    }
+    SendTo({&peer}, MakeMessage());
   }
-  return zones.size();
 }
 
 void PeerGossip::SendDatagram(const std::string& peer, std::string_view bytes) {
-  const auto found = m_peers.find(peer);
-  if (found != m_peers.end() && !m_stopped) {
+  const GossipPeer* found = m_peers.Find(peer);
+  if (found != nullptr && !m_stopped) {
     asio::error_code ignored;
-    m_socket.send_to(asio::buffer(bytes.data(), bytes.size()),
-                     found->second.endpoint, 0, ignored);
+    m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), found->endpoint,
+                     0, ignored);
   }
 }
 
 void PeerGossip::RecordDatagram(const std::string& peer) {
-  const auto found = m_peers.find(peer);
-  if (found != m_peers.end()) {
-    found->second.last_seen_at = m_clock.Now();
+  if (GossipPeer* found = m_peers.Find(peer)) {
+    found->last_seen_at = m_clock.Now();
   }
 }
 
 void PeerGossip::Send() {
-  const Recipients recipients = ChooseRecipients();
+  const GossipPeers::Recipients recipients = m_peers.ChooseRecipients();
+  m_host.Apply(forwarding::PeerCountsChanged{recipients.own_load_candidates,
+                                             recipients.recent});
   if (recipients.own_load_peers.empty() && recipients.zone_load_peers.empty()) {
     return;
   }
@@ -494,7 +354,7 @@
   if (!recipients.zone_load_peers.empty()) {
     message.loads = m_host.ZoneLoads(message.loads);
     message.covers_zone = true;
-    SendTo(recipients.zone_load_peers, message);
+    SendTo(recipients.zone_load_peers, std::move(message));
   }
 }
 
@@ -539,8 +399,8 @@
   return message;
 }
 
-void PeerGossip::SendTo(const std::vector<const Peer*>& peers,
-                        codec::GossipMessage& message) {
+void PeerGossip::SendTo(const std::vector<const GossipPeer*>& peers,
+                        codec::GossipMessage message) {
   const MonotonicTime now = m_clock.Now();
   const Duration limit = m_host.State().options.version_hard_limit;
   const forwarding::UpstreamDirectory& upstreams = m_host.State().upstreams;
@@ -553,7 +413,7 @@
       m_host.State().crashes.ReportsOnRefused(now);
   all_reports.insert(all_reports.end(), new_reports.begin(), new_reports.end());
   message.sequence = ++m_sequence;
-  for (const Peer* peer : peers) {
+  for (const GossipPeer* peer : peers) {
     const bool is_new = now - peer->incarnation_seen_at <= kNewPeerTime;
     message.publications = is_new ? all : young;
     message.crash_reports = is_new ? all_reports : new_reports;
--- a/packages/daemon/src/forwarder/zone_relay.cc
+++ b/packages/daemon/src/forwarder/zone_relay.cc
@@ -104,8 +104,8 @@
   for (const auto& [name, feed] : m_feeds) {
     m_coordinator.OnReadPause(name, m_name, feed.feed->ReadPause(), now);
   }
-  const auto plan = m_coordinator.Tick(m_gossip.LiveZonePeers(), now,
-                                       m_gossip.RecentZoneDaemons());
+  const auto plan = m_coordinator.Tick(m_gossip.Peers().LiveInZone(), now,
+                                       m_gossip.Peers().RecentDaemonsInZone());
   for (; m_counted_unanswered < m_coordinator.UnansweredPolls();
        ++m_counted_unanswered) {
     m_metrics.Count(Counter::kRelayPollUnanswered);
--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -101,20 +101,20 @@
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   auto right = std::make_unique<Node>(fixture, "right", address, 1000);
   CHECK(fixture.RunUntil([&] {
-    return left.gossip.LivePeerCount() == 1 &&
-           right->gossip.LivePeerCount() == 1;
+    return left.gossip.Peers().LiveCount() == 1 &&
+           right->gossip.Peers().LiveCount() == 1;
   }));
-  UNSIGNED_LONGS_EQUAL(0, left.gossip.Rank());
-  UNSIGNED_LONGS_EQUAL(1, right->gossip.Rank());
+  UNSIGNED_LONGS_EQUAL(0, left.gossip.Peers().Rank());
+  UNSIGNED_LONGS_EQUAL(1, right->gossip.Peers().Rank());
   right->gossip.Broadcast(forwarding::CrashReport{1, 2});
   CHECK(
       fixture.RunUntil([&] { return left.host.State().crashes.Size() == 1; }));
   right->gossip.Stop();
   // Callbacks of its last calls to the store still refer to it, so it is
   // destroyed only after the loop has run.
-  fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 0; });
+  fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 0; });
   right = std::make_unique<Node>(fixture, "right", address, 900);
-  CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
+  CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
   right->gossip.Broadcast(forwarding::CrashReport{3, 4});
   CHECK(
       fixture.RunUntil([&] { return left.host.State().crashes.Size() == 2; }));
@@ -141,7 +141,7 @@
   GossipFixture fixture;
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
+  CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
   // Longer than `left` treats `right` as new.
   fixture.loop.run_for(2500ms);
   right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
@@ -159,7 +159,7 @@
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
   CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
-  UNSIGNED_LONGS_EQUAL(0, right.gossip.LivePeerCount());
+  UNSIGNED_LONGS_EQUAL(0, right.gossip.Peers().LiveCount());
 }
 
 // Guards against a stopping daemon that others still choose as a reader or
@@ -169,15 +169,16 @@
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] {
-    return left.gossip.LivePeerCount() == 1 &&
-           right.gossip.LivePeerCount() == 1;
+    return left.gossip.Peers().LiveCount() == 1 &&
+           right.gossip.Peers().LiveCount() == 1;
   }));
-  UNSIGNED_LONGS_EQUAL(1, right.gossip.LiveZonePeers().size());
+  UNSIGNED_LONGS_EQUAL(1, right.gossip.Peers().LiveInZone().size());
   left.gossip.AnnounceStop();
-  CHECK(fixture.RunUntil([&] { return right.gossip.LivePeerCount() == 0; }));
-  UNSIGNED_LONGS_EQUAL(0, right.gossip.Rank());
-  UNSIGNED_LONGS_EQUAL(0, right.gossip.LiveZonePeers().size());
-  UNSIGNED_LONGS_EQUAL(1, left.gossip.LivePeerCount());
+  CHECK(
+      fixture.RunUntil([&] { return right.gossip.Peers().LiveCount() == 0; }));
+  UNSIGNED_LONGS_EQUAL(0, right.gossip.Peers().Rank());
+  UNSIGNED_LONGS_EQUAL(0, right.gossip.Peers().LiveInZone().size());
+  UNSIGNED_LONGS_EQUAL(1, left.gossip.Peers().LiveCount());
 }
 
 // Guards against requests with a part that crashes upstreams at daemons that
@@ -202,7 +203,7 @@
   right->gossip.Stop();
   // Callbacks of its last calls to the store still refer to it, so it is
   // destroyed only after the loop has run.
-  fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 0; });
+  fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 0; });
   right = std::make_unique<Node>(fixture, "right", address, 1001);
   CHECK(fixture.RunUntil([&] { return refuses(*right); }));
 }
@@ -232,8 +233,8 @@
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] {
-    return left.gossip.LivePeerCount() == 1 &&
-           right.gossip.LivePeerCount() == 1;
+    return left.gossip.Peers().LiveCount() == 1 &&
+           right.gossip.Peers().LiveCount() == 1;
   }));
   // Too old to count, for the request as for its parts.
   right.gossip.Broadcast(forwarding::CrashReport{1, 2, {3}, 4, 1h});
@@ -250,7 +251,7 @@
   GossipFixture fixture;
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
+  CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
   forwarding::CrashReport report{1, 2, {}, 3, 0s};
   for (std::uint64_t part = 1; part <= kParts; ++part) {
     report.parts.push_back(part << 32U);
@@ -269,8 +270,8 @@
   Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
   Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] {
-    return left.gossip.LivePeerCount() == 1 &&
-           right.gossip.LivePeerCount() == 1;
+    return left.gossip.Peers().LiveCount() == 1 &&
+           right.gossip.Peers().LiveCount() == 1;
   }));
   right.gossip.Broadcast(forwarding::CrashReport{1, 1, {7}, 8, 0s});
   for (std::uint64_t victim = 2; victim < kVictims; ++victim) {
@@ -291,7 +292,7 @@
       {"u", "s", "10.0.0.1:80", "a", 8}};
   left.host.Apply(registered);
   right.host.Apply(registered);
-  CHECK(fixture.RunUntil([&] { return left.gossip.LivePeerCount() == 1; }));
+  CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
   right.host.Apply(forwarding::UpstreamFailuresReported{
       "other", {{"u", 0, UpstreamFailure::kReplaced, 1ms, false}}});
   CHECK(fixture.RunUntil([&] {
