Split the tests of gossip by topic

Tests of crash reports and verdicts are in a file of their own, with the pair of daemons that most of them need as a fixture.

--- a/packages/daemon/tests/peer_gossip_test.cc
+++ b/packages/daemon/tests/peer_gossip_test.cc
@@ -15,9 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "jasminehatch/detail/forwarder/forwarding_host.h"
-#include "jasminehatch/detail/forwarder/peer_gossip.h"
-#include "jasminehatch/detail/testing/run_until.h"
+#include "gossip_fixture.h"
 
 // Must come last because it defines `new` as a macro.
 #include "jasminehatch/detail/testing/leak_detector_off.h"
@@ -26,65 +24,13 @@
 
 using namespace jasminehatch;
 using namespace std::chrono_literals;
+using daemon::test::GossipFixture;
+using daemon::test::GossipNode;
 
 namespace {
 
-/// @brief Fixture with what two daemons share: the loop and the platform's
-/// store.
-struct GossipFixture {
-  asio::io_context loop;
-  emulator::LoopbackHost loopback;
-  emulator::PlatformEmulator platform{loop};
-  net::BootClock clock;
-  net::HttpClient http{loop};
-  net::StreamClient client{loop, {}};
-  platform::StoreClient store{http, platform.Address()};
-  telemetry::DecisionLog log{-1, clock, {}};
-  telemetry::Metrics metrics;
-
-  template <typename Condition>
-  bool RunUntil(Condition condition) {
-    return jasminehatch::testing::RunUntil(loop, condition);
-  }
-};
-
-/// @brief The gossip component of a daemon.
-struct Node {
-  Node(GossipFixture& fixture,
-       const std::string& name,
-       const std::string& address,
-       std::uint64_t incarnation,
-       const std::string& zone = "a")
-      : host(fixture.loop,
-             fixture.clock,
-             fixture.client,
-             fixture.log,
-             fixture.metrics,
-             {}),
-        gossip(fixture.loop,
-               fixture.clock,
-               fixture.store,
-               host,
-               fixture.log,
-               {name, zone, address, incarnation}) {
-    gossip.Start();
-  }
-  ~Node() { gossip.Stop(); }
-  Node(const Node&) = delete;
-  Node& operator=(const Node&) = delete;
-
-  void ReadConfiguration(std::uint64_t version) {
-    forwarding::Configuration configuration;
-    configuration.version = version;
-    host.Apply(forwarding::ConfigurationRead{configuration});
-  }
-
-  daemon::ForwardingHost host;
-  daemon::PeerGossip gossip;
-};
-
 /// @return whether the daemon knows when this version was published
-bool KnowsPublicationOf(const Node& node, std::uint64_t version) {
+bool KnowsPublicationOf(const GossipNode& node, std::uint64_t version) {
   const auto newest = node.host.State().upstreams.NewestPublished("m");
   return newest && newest->version == version && newest->publish_time_known;
 }
@@ -98,8 +44,9 @@
 TEST(PeerGossip, DaemonsExchangeGossipAfterAClockWasSetBack) {
   GossipFixture fixture;
   const std::string address = fixture.loopback.NewUdpAddress(fixture.loop);
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  auto right = std::make_unique<Node>(fixture, "right", address, 1000);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
+  auto right = std::make_unique<GossipNode>(fixture, "right", address, 1000);
   CHECK(fixture.RunUntil([&] {
     return left.gossip.Peers().LiveCount() == 1 &&
            right->gossip.Peers().LiveCount() == 1;
@@ -113,7 +60,7 @@
   // Callbacks of its last calls to the store still refer to it, so it is
   // destroyed only after the loop has run.
   fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 0; });
-  right = std::make_unique<Node>(fixture, "right", address, 900);
+  right = std::make_unique<GossipNode>(fixture, "right", address, 900);
   CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
   right->gossip.Broadcast(forwarding::CrashReport{3, 4});
   CHECK(
@@ -124,13 +71,15 @@
 // published long before.
 TEST(PeerGossip, AStartingDaemonLearnsOldPublicationAges) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
   forwarding::Options options;
   options.version_hard_limit = 1ms;
   left.host.Apply(forwarding::OptionsChanged{options});
   left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
   fixture.loop.run_for(50ms);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
   CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
 }
@@ -139,8 +88,10 @@
 // does not learn how long ago that was.
 TEST(PeerGossip, YoungPublicationAgesAreRepeated) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
   // Longer than `left` treats `right` as new.
   fixture.loop.run_for(2500ms);
@@ -153,10 +104,12 @@
 // were published fall silent before the first one has restarted.
 TEST(PeerGossip, AStoppingDaemonStillTellsPublicationAges) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
   left.host.Apply(forwarding::WeightsPublished{"m", 2, true});
   left.gossip.AnnounceStop();
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   right.host.Apply(forwarding::WeightsPublished{"m", 2, false});
   CHECK(fixture.RunUntil([&] { return KnowsPublicationOf(right, 2); }));
   UNSIGNED_LONGS_EQUAL(0, right.gossip.Peers().LiveCount());
@@ -166,8 +119,10 @@
 // count in their ranks.
 TEST(PeerGossip, AStoppingDaemonIsNotLive) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   CHECK(fixture.RunUntil([&] {
     return left.gossip.Peers().LiveCount() == 1 &&
            right.gossip.Peers().LiveCount() == 1;
@@ -181,113 +136,15 @@
   UNSIGNED_LONGS_EQUAL(1, left.gossip.Peers().LiveCount());
 }
 
-// Guards against requests with a part that crashes upstreams at daemons that
-// have seen no crash, or have restarted since.
-TEST(PeerGossip, DaemonsLearnWhichPartsAreQuarantined) {
-  constexpr std::uint64_t kPart = 7;
-  GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  const auto refuses = [&](const Node& node) {
-    const std::array parts{kPart};
-    return node.host.State()
-        .part_suspects.RefusalTimeLeft(parts, fixture.clock.Now())
-        .has_value();
-  };
-  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
-    left.host.Apply(forwarding::CrashReportReceived{
-        {crash, crash, {kPart}, crash, 10s - crash * 1s}});
-  }
-  const std::string address = fixture.loopback.NewUdpAddress(fixture.loop);
-  auto right = std::make_unique<Node>(fixture, "right", address, 1000);
-  CHECK(fixture.RunUntil([&] { return refuses(left) && refuses(*right); }));
-  right->gossip.Stop();
-  // Callbacks of its last calls to the store still refer to it, so it is
-  // destroyed only after the loop has run.
-  fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 0; });
-  right = std::make_unique<Node>(fixture, "right", address, 1001);
-  CHECK(fixture.RunUntil([&] { return refuses(*right); }));
-}
-
-// Guards against a daemon that starts, and sends a request which crashed three
-// upstreams to three more (review/5).
-TEST(PeerGossip, AStartingDaemonLearnsWhichRequestsAreRefused) {
-  constexpr std::uint64_t kRequest = 7;
-  GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  for (std::uint64_t upstream = 1; upstream <= 3; ++upstream) {
-    left.host.Apply(forwarding::CrashReportReceived{{kRequest, upstream}});
-  }
-  // Longer than the reports are repeated.
-  fixture.loop.run_for(800ms);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  CHECK(fixture.RunUntil([&] {
-    return right.host.State()
-        .crashes.RefusalTimeLeft(kRequest, fixture.clock.Now())
-        .has_value();
-  }));
-}
-
-// Guards against crash reports that lose their prompt parts or their age.
-TEST(PeerGossip, CrashReportsCarryThePartsOfTheRequest) {
-  GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  CHECK(fixture.RunUntil([&] {
-    return left.gossip.Peers().LiveCount() == 1 &&
-           right.gossip.Peers().LiveCount() == 1;
-  }));
-  // Too old to count, for the request as for its parts.
-  right.gossip.Broadcast(forwarding::CrashReport{1, 2, {3}, 4, 1h});
-  right.gossip.Broadcast(forwarding::CrashReport{5, 6, {7, 8}, 9, 1s});
-  CHECK(
-      fixture.RunUntil([&] { return left.host.State().crashes.Size() == 1; }));
-  UNSIGNED_LONGS_EQUAL(2, left.host.State().part_suspects.Evidence().Size());
-}
-
-// Guards against a part that is not suspected at other daemons since it stands
-// at the front, or anywhere else, of a long prompt (review/9).
-TEST(PeerGossip, AllPartsOfALongPromptAreReported) {
-  constexpr std::size_t kParts = 3900;
-  GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  CHECK(fixture.RunUntil([&] { return left.gossip.Peers().LiveCount() == 1; }));
-  forwarding::CrashReport report{1, 2, {}, 3, 0s};
-  for (std::uint64_t part = 1; part <= kParts; ++part) {
-    report.parts.push_back(part << 32U);
-  }
-  right.gossip.Broadcast(report);
-  CHECK(fixture.RunUntil([&] {
-    return left.host.State().part_suspects.Evidence().Size() == kParts;
-  }));
-}
-
-// Guards against losing the only report that tells the cause of a crash among
-// those of its many victims.
-TEST(PeerGossip, ReportsWithPartsAreNotDroppedForOthers) {
-  constexpr std::uint64_t kVictims = 200;
-  GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  CHECK(fixture.RunUntil([&] {
-    return left.gossip.Peers().LiveCount() == 1 &&
-           right.gossip.Peers().LiveCount() == 1;
-  }));
-  right.gossip.Broadcast(forwarding::CrashReport{1, 1, {7}, 8, 0s});
-  for (std::uint64_t victim = 2; victim < kVictims; ++victim) {
-    right.gossip.Broadcast(forwarding::CrashReport{victim, 1});
-  }
-  CHECK(fixture.RunUntil(
-      [&] { return left.host.State().part_suspects.Evidence().Size() == 1; }));
-}
-
 // Guards against a failure of an upstream that only its observer and the
 // daemons that it has told know of.
 TEST(PeerGossip, FailuresOfUpstreamsAreForwarded) {
   using forwarding::UpstreamFailure;
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   const forwarding::UpstreamRegistered registered{
       {"u", "s", "10.0.0.1:80", "a", 8}};
   left.host.Apply(registered);
@@ -309,9 +166,11 @@
 // knowing of daemons that start at the same time.
 TEST(PeerGossip, DaemonsKnowWhoElseMaySend) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
-  const auto knows_other = [&](const Node& node) {
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  const auto knows_other = [&](const GossipNode& node) {
     const FleetMembers& members = node.host.State().members;
     return members.Count() == 1 && members.IsSettled(fixture.clock.Now());
   };
@@ -337,9 +196,9 @@
   /// Starts the daemons of a zone.
   void Start(const std::string& zone) {
     for (int i = 0; i < kZoneSize; ++i) {
-      nodes.push_back(std::make_unique<Node>(*this, zone + std::to_string(i),
-                                             loopback.NewUdpAddress(loop), 1,
-                                             zone));
+      nodes.push_back(
+          std::make_unique<GossipNode>(*this, zone + std::to_string(i),
+                                       loopback.NewUdpAddress(loop), 1, zone));
     }
   }
 
@@ -357,7 +216,7 @@
   }
 
   forwarding::Configuration configuration;
-  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<std::unique_ptr<GossipNode>> nodes;
 };
 
 }  // namespace
@@ -393,8 +252,10 @@
 // from its peers that its configuration may be outdated.
 TEST(PeerGossip, APeerTellsOfRecordsThatWereNotRead) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   // A peer without a configuration says nothing of what `right` has read.
   left.ReadConfiguration(1);
   std::uint64_t end_offset = 7;
@@ -425,10 +286,12 @@
 // copy, and accepts a revoked key until it happens to hear of a peer.
 TEST(PeerGossip, AStartingDaemonHearsItsPeersBeforeItTrustsTheStore) {
   GossipFixture fixture;
-  Node left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop), 5);
+  GossipNode left(fixture, "left", fixture.loopback.NewUdpAddress(fixture.loop),
+                  5);
   left.ReadConfiguration(8);
   fixture.loop.run_for(50ms);
-  Node right(fixture, "right", fixture.loopback.NewUdpAddress(fixture.loop), 6);
+  GossipNode right(fixture, "right",
+                   fixture.loopback.NewUdpAddress(fixture.loop), 6);
   const forwarding::State& state = right.host.State();
   const auto confirm = [&] {
     right.host.Apply(
@@ -451,7 +314,7 @@
 TEST(PeerGossip, AnEchoOfAnEarlierProcessProvesNothing) {
   GossipFixture fixture;
   const std::string address = fixture.loopback.NewUdpAddress(fixture.loop);
-  Node node(fixture, "right", address, 6);
+  GossipNode node(fixture, "right", address, 6);
   std::size_t proofs = 0;
   node.gossip.ShareFreshnessProofs([] { return std::nullopt; },
                                    [&](const auto& /*proof*/) { ++proofs; });
