--- a/packages/codec/tests/forwarder_codec_test.cc
+++ b/packages/codec/tests/forwarder_codec_test.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "json_variants.h"
+
 #include "jasminehatch/detail/testing/leak_detector_off.h"
 
 #include <CppUTest/TestHarness.h>
@@ -15,6 +17,7 @@
 using namespace jasminehatch;
 using namespace jasminehatch::codec;
 using namespace std::chrono_literals;
+using test::ReplaceEachNumber;
 
 namespace {
 
@@ -32,39 +35,6 @@
   return 0;
 }
 
-/// @return a gossip message with a value in each of its lists
-GossipMessage CompleteMessage() {
-  GossipMessage message;
-  message.daemon = "e1";
-  message.freshness_proof_age_ms = 10;
-  message.loads = {{11, 12, 13}};
-  message.weights_updates = {{"u", "m", 14, true}};
-  message.crash_reports = {{15, 16, {17, 18}, 19, 20ms}};
-  message.publications = {{"m", 17, std::chrono::milliseconds(18), true}};
-  message.part_verdicts = {{21, 22, 23, 24ms, 25ms}};
-  message.upstream_failures = {
-      {"u", 26, forwarding::UpstreamFailure::kRefused, 27ms, false}};
-  message.stream_origins = {{28, "s", "v1"}, {29, "s", "v1"}, {30, "s", "v2"}};
-  return message;
-}
-
-/// @return every value of a number or list element in the document, replaced
-/// one at a time
-std::vector<nlohmann::json> ReplaceEachNumber(
-    const nlohmann::json& document,
-    const nlohmann::json& replacement) {
-  std::vector<nlohmann::json> variants;
-  const nlohmann::json flat = document.flatten();
-  for (const auto& [pointer, value] : flat.items()) {
-    if (value.is_number()) {
-      nlohmann::json variant = document;
-      variant[nlohmann::json::json_pointer(pointer)] = replacement;
-      variants.push_back(std::move(variant));
-    }
-  }
-  return variants;
-}
-
 FeedDelta CompleteDelta() {
   FeedDelta delta;
   delta.feed = 1;
@@ -95,135 +65,8 @@
   LONGS_EQUAL(103, ErrorOf(std::string(kSettings) + "[other]\nx = 1\n"));
 }
 
-// Guards against a gossip message that loses a field in encoding or decoding.
-TEST(ForwarderCodec, GossipRoundTrips) {
-  GossipMessage message;
-  message.daemon = "e1";
-  message.address = "10.0.0.1:7700";
-  message.zone = "a";
-  message.incarnation = 5;
-  message.sequence = 6;
-  message.sent_ms = 7;
-  message.echo_ms = 8;
-  message.operator_end = {30, 9};
-  message.echo_incarnation = 31;
-  message.forwarding_address = "10.0.0.1:7701";
-  message.configuration_version = 32;
-  message.freshness_proof_age_ms = 10;
-  message.loads = {{11, 12, 13}};
-  message.weights_updates = {{"u", "m", 14, true}};
-  message.crash_reports = {{15, 16}, {15, 16, {17, 18}, 19, 20ms}};
-  message.part_verdicts = {{21, 22, 23, 24ms, 25ms}};
-  message.upstream_failures = {
-      {"u", 26, forwarding::UpstreamFailure::kReplaced, 27ms, false},
-      {"v", 28, forwarding::UpstreamFailure::kRefused, 29ms, true}};
-  message.covers_zone = true;
-  message.stopping = true;
-  message.publications = {{"m", 17, std::chrono::milliseconds(18), true},
-                          {"n", 19, std::chrono::milliseconds(20), false}};
-  const auto decoded = GossipMessage::Decode(message.Encode());
-  STRCMP_EQUAL("e1", decoded.daemon.c_str());
-  STRCMP_EQUAL("10.0.0.1:7700", decoded.address.c_str());
-  STRCMP_EQUAL("a", decoded.zone.c_str());
-  UNSIGNED_LONGS_EQUAL(5, decoded.incarnation);
-  UNSIGNED_LONGS_EQUAL(6, decoded.sequence);
-  UNSIGNED_LONGS_EQUAL(7, decoded.sent_ms);
-  UNSIGNED_LONGS_EQUAL(8, decoded.echo_ms);
-  CHECK((LogPosition{30, 9}) == decoded.operator_end);
-  UNSIGNED_LONGS_EQUAL(31, decoded.echo_incarnation);
-  STRCMP_EQUAL("10.0.0.1:7701", decoded.forwarding_address.c_str());
-  UNSIGNED_LONGS_EQUAL(32, decoded.configuration_version);
-  UNSIGNED_LONGS_EQUAL(10, *decoded.freshness_proof_age_ms);
-  UNSIGNED_LONGS_EQUAL(13, decoded.loads.at(0).tokens);
-  UNSIGNED_LONGS_EQUAL(14, decoded.weights_updates.at(0).version);
-  CHECK(decoded.weights_updates.at(0).loading);
-  CHECK(decoded.covers_zone);
-  CHECK(decoded.crash_reports == message.crash_reports);
-  CHECK(decoded.stopping);
-  CHECK(decoded.publications == message.publications);
-  CHECK(decoded.part_verdicts == message.part_verdicts);
-  CHECK(decoded.upstream_failures == message.upstream_failures);
-  message.freshness_proof_age_ms.reset();
-  CHECK_FALSE(GossipMessage::Decode(message.Encode()).freshness_proof_age_ms);
-}
-
-// Guards against ignoring the crash reports of daemons that run an earlier
-// version during an upgrade.
-TEST(ForwarderCodec, GossipOfAnEarlierVersionIsAccepted) {
-  GossipMessage message = CompleteMessage();
-  auto encoded = nlohmann::json::from_msgpack(message.Encode());
-  const auto decode_without_last = [&] {
-    encoded.erase(encoded.size() - 1);
-    std::string bytes;
-    nlohmann::json::to_msgpack(encoded, bytes);
-    return GossipMessage::Decode(bytes);
-  };
-  const auto without_version = decode_without_last();
-  UNSIGNED_LONGS_EQUAL(0, without_version.configuration_version);
-  CHECK(without_version.forwarding_address == message.forwarding_address);
-  const auto without_forwarding = decode_without_last();
-  CHECK(without_forwarding.forwarding_address.empty());
-  CHECK(without_forwarding.operator_end == message.operator_end);
-  const auto without_incarnation = decode_without_last();
-  UNSIGNED_LONGS_EQUAL(0, without_incarnation.echo_incarnation);
-  CHECK(without_incarnation.operator_end == message.operator_end);
-  const auto without_epoch = decode_without_last();
-  UNSIGNED_LONGS_EQUAL(0, without_epoch.operator_end.epoch);
-  CHECK(without_epoch.stream_origins == message.stream_origins);
-  const auto without_origins = decode_without_last();
-  CHECK(without_origins.upstream_failures == message.upstream_failures);
-  CHECK(without_origins.stream_origins.empty());
-  const auto without_failures = decode_without_last();
-  CHECK(without_failures.crash_reports == message.crash_reports);
-  CHECK(without_failures.part_verdicts == message.part_verdicts);
-  CHECK(without_failures.upstream_failures.empty());
-  const auto without_verdicts = decode_without_last();
-  CHECK(without_verdicts.crash_reports == message.crash_reports);
-  CHECK(without_verdicts.part_verdicts.empty());
-}
-
-// Guards against a message that is ignored because a later daemon reports a
-// kind of failure that this one does not know, and against any number of
-// reports in a message.
-TEST(ForwarderCodec, FailuresOfUpstreamsAreBounded) {
-  GossipMessage message = CompleteMessage();
-  auto encoded = nlohmann::json::from_msgpack(message.Encode());
-  constexpr std::size_t kFailures = 18;
-  nlohmann::json& failures = encoded.at(kFailures);
-  nlohmann::json later = failures.front();
-  later[2] = 9;
-  failures.insert(failures.begin(), later);
-  std::string bytes;
-  nlohmann::json::to_msgpack(encoded, bytes);
-  CHECK(GossipMessage::Decode(bytes).upstream_failures ==
-        message.upstream_failures);
-  message.upstream_failures.resize(GossipMessage::kMaxUpstreamFailures + 1);
-  UNSIGNED_LONGS_EQUAL(
-      GossipMessage::kMaxUpstreamFailures,
-      GossipMessage::Decode(message.Encode()).upstream_failures.size());
-}
-
-// Guards against a stream that counts as one of another service or software
-// version, and against any number of origins in a message.
-TEST(ForwarderCodec, OriginsOfStreamsRoundTrip) {
-  GossipMessage message = CompleteMessage();
-  CHECK(GossipMessage::Decode(message.Encode()).stream_origins ==
-        message.stream_origins);
-  message.stream_origins.resize(GossipMessage::kMaxStreamOrigins + 1);
-  UNSIGNED_LONGS_EQUAL(
-      GossipMessage::kMaxStreamOrigins,
-      GossipMessage::Decode(message.Encode()).stream_origins.size());
-  message.stream_origins = {{1, "s", std::string(257, 'v')}};
-  CHECK(GossipMessage::Decode(message.Encode()).stream_origins.empty());
-}
-
 // Guards against a crash on malformed input.
 TEST(ForwarderCodec, MalformedInputIsRejected) {
-  const std::string good = GossipMessage{}.Encode();
-  for (std::size_t length = 0; length < good.size(); ++length) {
-    CHECK_THROWS(CodecError, GossipMessage::Decode(good.substr(0, length)));
-  }
-  CHECK_THROWS(CodecError, GossipMessage::Decode("\xc1"));
   CHECK_THROWS(CodecError, DecodeLease("{}"));
   CHECK_THROWS(CodecError, DecodeLease("torn"));
   CHECK_THROWS(CodecError, DaemonAddress::Decode("[]"));
@@ -232,19 +75,6 @@
 // Guards against conversions of numbers outside the range of their type, which
 // are undefined.
 TEST(ForwarderCodec, NumbersOutOfRangeAreRejected) {
-  std::string bytes = CompleteMessage().Encode();
-  const auto message = nlohmann::json::from_msgpack(bytes);
-  for (const nlohmann::json& wrong :
-       {nlohmann::json(8.45755e+141), nlohmann::json(-1), nlohmann::json(1.5),
-        nlohmann::json("1")}) {
-    const auto variants = ReplaceEachNumber(message, wrong);
-    UNSIGNED_LONGS_EQUAL(33, variants.size());
-    for (const nlohmann::json& variant : variants) {
-      std::string encoded;
-      nlohmann::json::to_msgpack(variant, encoded);
-      CHECK_THROWS(CodecError, GossipMessage::Decode(encoded));
-    }
-  }
   const auto lease = nlohmann::json::parse(
       EncodeLease(lease::LeaseRecord{"weights", {"e1", 3}, 4, 5, 6}));
   for (const nlohmann::json& variant : ReplaceEachNumber(lease, 1e300)) {
@@ -265,24 +95,6 @@
   }
 }
 
-// Guards against an overflow of the clock by a time that a peer reports.
-TEST(ForwarderCodec, TimesBeyondTheClockAreRejected) {
-  for (std::uint64_t GossipMessage::*field :
-       {&GossipMessage::sent_ms, &GossipMessage::echo_ms}) {
-    GossipMessage message = CompleteMessage();
-    message.*field = static_cast<std::uint64_t>(kMaxMilliseconds);
-    GossipMessage::Decode(message.Encode());
-    message.*field += 1;
-    CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
-  }
-  GossipMessage message = CompleteMessage();
-  message.publications.front().age =
-      std::chrono::milliseconds(kMaxMilliseconds);
-  GossipMessage::Decode(message.Encode());
-  message.publications.front().age += std::chrono::milliseconds(1);
-  CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
-}
-
 // Guards against a relay message that loses a field in encoding or decoding.
 TEST(ForwarderCodec, RelayMessagesRoundTrip) {
   const auto poll =
@@ -380,21 +192,6 @@
   }
 }
 
-// Guards against a capacity that daemons cannot compare, and against messages
-// of daemons that do not report one.
-TEST(ForwarderCodec, CapacitiesAreChecked) {
-  GossipMessage message = CompleteMessage();
-  CHECK_FALSE(GossipMessage::Decode(message.Encode()).capacity.has_value());
-  message.capacity = 0.5;
-  DOUBLES_EQUAL(0.5, *GossipMessage::Decode(message.Encode()).capacity, 0);
-  for (const double wrong :
-       {0.0, -1.0, 1e300, std::numeric_limits<double>::quiet_NaN(),
-        std::numeric_limits<double>::infinity()}) {
-    message.capacity = wrong;
-    CHECK_THROWS(CodecError, GossipMessage::Decode(message.Encode()));
-  }
-}
-
 // Guards against a lease record whose holder, epoch or gap changes in encoding
 // or decoding.
 TEST(ForwarderCodec, LeasesRoundTrip) {
