Let later crashes of a part take the place of expired ones

Found while reading the evidence for other limits that drop what tells most.

Failed before: PartSuspects.ExpiredCrashesMakeRoomForLaterOnes.

--- a/packages/core/include/jasminehatch/detail/forwarding/crash_evidence.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/crash_evidence.h
@@ -33,7 +33,7 @@
 
   /// @brief Adds a crash of a part.
   /// @return false if the crash of that upstream is known, or if the part has
-  /// as many crashes as are kept
+  /// as many crashes as are kept and none has expired
   bool Add(std::uint64_t part, const PartCrash& crash, MonotonicTime now);
 
   /// Removes all crashes of a part.
--- a/packages/core/include/jasminehatch/detail/forwarding/part_suspects.h
+++ b/packages/core/include/jasminehatch/detail/forwarding/part_suspects.h
@@ -46,7 +46,7 @@
   std::optional<Duration> RefusalTimeLeft(std::span<const std::uint64_t> parts,
                                           MonotonicTime now) const;
 
-  /// @return whether a request that was being answered when its upstream
+  /// @return whether a request that had received no event when its upstream
   /// crashed is likely to crash another one
   bool MayCrashAgain(std::span<const std::uint64_t> parts,
                      MonotonicTime now) const;
--- a/packages/core/src/forwarding/crash_evidence.cc
+++ b/packages/core/src/forwarding/crash_evidence.cc
@@ -19,20 +19,20 @@
                         const PartCrash& crash,
                         MonotonicTime now) {
   const Crashes* known = Find(part);
-  const std::size_t count = known == nullptr ? 0 : known->size();
-  if (count == kMaxCrashesPerPart) {
-    return false;
-  }
+  Crashes crashes = known == nullptr ? Crashes{} : *known;
+  std::erase_if(crashes, [&](const PartCrash& other) {
+    return now - other.at > kLifetime;
+  });
   const auto is_same = [&](const PartCrash& other) {
     return other.upstream == crash.upstream;
   };
-  if (count > 0 && std::any_of(known->begin(), known->end(), is_same)) {
+  if (crashes.size() == kMaxCrashesPerPart ||
+      std::any_of(crashes.begin(), crashes.end(), is_same)) {
     return false;
   }
   // Taken out meanwhile, the part itself is not dropped.
-  Crashes crashes = count == 0 ? Crashes{} : *known;
   Erase(part);
-  MakeRoom(BytesOf(count + 1), now);
+  MakeRoom(BytesOf(crashes.size() + 1), now);
   const auto place =
       std::upper_bound(crashes.begin(), crashes.end(), crash,
                        [](const PartCrash& left, const PartCrash& right) {
--- a/packages/core/tests/part_suspects_test.cc
+++ b/packages/core/tests/part_suspects_test.cc
@@ -241,6 +241,20 @@
   CHECK_FALSE(daemon.Refuses(kDeadly));
 }
 
+// Guards against a part that crashes an upstream after each quarantine, and is
+// not quarantined again once the crashes of many hours fill its evidence.
+TEST(PartSuspects, ExpiredCrashesMakeRoomForLaterOnes) {
+  Daemon daemon;
+  daemon.CrashThrice({kDeadly});
+  for (std::uint64_t upstream = 10; upstream < 50; ++upstream) {
+    daemon.now += 11min;
+    CHECK_FALSE(daemon.Refuses(kDeadly));
+    daemon.Crash(upstream, {kDeadly});
+    daemon.now += 1s;
+    CHECK(daemon.Refuses(kDeadly));
+  }
+}
+
 // Guards against a daemon that refuses sound requests because it has seen only
 // the crashes, and another one the answers.
 TEST(PartSuspects, AnAnswerAtAnotherDaemonReleasesThePart) {
