--- a/packages/core/src/forwarding/attempts.cc
+++ b/packages/core/src/forwarding/attempts.cc
@@ -8,7 +8,6 @@
 #include "jasminehatch/detail/forwarding/cache_salt.h"
 #include "jasminehatch/detail/forwarding/placement.h"
 #include "jasminehatch/detail/forwarding/residency.h"
-#include "jasminehatch/detail/forwarding/stable_hash.h"
 #include "jasminehatch/detail/forwarding/state.h"
 #include "jasminehatch/detail/routing/allowed_zones.h"
 #include "reducer.h"
@@ -32,9 +31,6 @@
 /// target.
 constexpr std::chrono::milliseconds kMinStreamTimeout{1500};
 
-/// Maximum size of a list of prompt parts in the log, in bytes.
-constexpr std::size_t kMaxLoggedPartBytes = 4096;
-
 /// Adds up the fetched and saved tokens, for the log.
 void AddCacheTokens(const Prompt& prompt,
                     const CachePlan& plan,
@@ -77,34 +73,6 @@
   return request.attempt->entry_number == upstream.entry_number;
 }
 
-/// @return whether the upstream may have crashed as it began to answer. A
-/// server that writes the head together with the first event crashes before it;
-/// a connection that was lost on the way says nothing of the upstream.
-bool MayHaveCrashedUpstream(const AttemptEnded& attempt) {
-  return attempt.outcome == AttemptOutcome::kBroken &&
-         (attempt.response_begun || attempt.closed_by_upstream);
-}
-
-/// @param attempt the attempt whose connection to `upstream` was lost
-CrashReport MakeCrashReport(const Request& request,
-                            const AttemptEnded& attempt,
-                            const Upstream& upstream) {
-  // The hash includes the start time, so that an upstream counts as another one
-  // after a restart.
-  const UpstreamEntry& entry = upstream.entry;
-  CrashReport report;
-  report.fingerprint = request.arrival.fingerprint;
-  report.upstream = StableHash(entry.id, entry.started_at);
-  // Requests that have received an event did not cause the crash.
-  if (MayHaveCrashedUpstream(attempt) && !request.attempt->response_started &&
-      !request.shared_parts.empty()) {
-    report.response_begun = attempt.response_begun;
-    report.parts = request.shared_parts;
-    report.own_part = StableHash(request.arrival.prompt->parts.back().id);
-  }
-  return report;
-}
-
 }  // namespace
 
 void Reducer::Dispatch(Request& request) {
@@ -226,28 +194,6 @@
   Log(request, event, std::move(fields));
 }
 
-void Reducer::LogSuspectedParts(const Request& request) {
-  std::string ids;
-  std::string hashes;
-  const std::size_t count = request.shared_parts.size();
-  for (std::size_t i = 0; i < count; ++i) {
-    const std::string& id = request.arrival.prompt->parts[i].id;
-    const std::string hash = std::to_string(request.shared_parts[i]);
-    if (std::max(ids.size() + id.size(), hashes.size() + hash.size()) >=
-        kMaxLoggedPartBytes) {
-      break;
-    }
-    const char* separator = i == 0 ? "" : ",";
-    ids += separator + id;
-    hashes += separator + hash;
-  }
-  Log(request, "parts_suspected",
-      {{"upstream", request.attempt->upstream},
-       {"count", std::to_string(count)},
-       {"part_ids", std::move(ids)},
-       {"parts", std::move(hashes)}});
-}
-
 void Reducer::StartOn(Request& request, const Placement& placement) {
   Upstream& upstream = *placement.upstream;
   const AttemptId id{m_state.next_attempt++};
@@ -470,11 +416,7 @@
     RecordZoneContact(upstream->entry.zone);
   }
   if (event.outcome == AttemptOutcome::kBroken) {
-    const CrashReport report = MakeCrashReport(request, event, *upstream);
-    if (!report.parts.empty()) {
-      LogSuspectedParts(request);
-    }
-    RecordCrash(report);
+    RecordLostConnection(request, event, *upstream);
   }
   const bool is_same_process = RanAtCurrentProcess(request, *upstream);
   switch (event.outcome) {
@@ -579,9 +521,7 @@
       RefuseIfCrashSuspect(request)) {
     return;
   }
-  // Requests that were answered are victims of another one's crash.
-  if (MayHaveCrashedUpstream(event) && !answered &&
-      m_state.part_suspects.MayCrashAgain(request.shared_parts, m_now)) {
+  if (!answered && MayCrashAnother(request, event)) {
     Refuse(request, {RefusalCode::kUpstreamFailed, event.detail});
     return;
   }
--- a/packages/core/src/forwarding/reducer.h
+++ b/packages/core/src/forwarding/reducer.h
@@ -193,6 +193,15 @@
   bool MayOutlastStop(const Request& request) const;
   static Denial MakeStopDenial();
   void ChooseService(Request& request) const;
+  /// Records that an attempt lost its connection: the request may have crashed
+  /// the upstream.
+  void RecordLostConnection(const Request& request,
+                            const AttemptEnded& event,
+                            const Upstream& upstream);
+  /// @return whether a request that got no event before its attempt ended is
+  /// likely to crash a further upstream. Those that got one are victims of
+  /// another request's crash.
+  bool MayCrashAnother(const Request& request, const AttemptEnded& event) const;
   /// Records a crash report, and broadcasts it if it is new.
   void RecordCrash(const CrashReport& report);
   void RecordAnswer(const Request& request) {
